--- /dev/null
+++ b/include/chicorylift/core/resources.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+/// Quantities of a worker's processors, memory and accelerators.
+namespace chicorylift::core
+{
+
+/// Amount of each resource; differences may be negative.
+struct resources
+{
+    std::int64_t accelerators{};
+    std::int64_t cores{};
+    std::int64_t memory_gb{};
+
+    friend bool operator==(const resources&, const resources&) = default;
+};
+
+[[nodiscard]] resources operator+(const resources& left, const resources& right) noexcept;
+[[nodiscard]] resources operator-(const resources& left, const resources& right) noexcept;
+[[nodiscard]] resources operator*(const resources& amount, std::int64_t times) noexcept;
+resources& operator+=(resources& left, const resources& right) noexcept;
+resources& operator-=(resources& left, const resources& right) noexcept;
+
+/// @return the larger of the two in each resource.
+[[nodiscard]] resources at_least(const resources& left, const resources& right) noexcept;
+/// @return the smaller of the two in each resource.
+[[nodiscard]] resources at_most(const resources& left, const resources& right) noexcept;
+/// @return whether @p need is no larger than @p room in every resource.
+[[nodiscard]] bool fits(const resources& need, const resources& room) noexcept;
+/// @return how many times @p need fits into @p room; 0 when some resource is short.
+[[nodiscard]] std::int64_t times_fitting(const resources& need, const resources& room) noexcept;
+/// @return text such as "8 accelerators, 32 cores, 128 GB".
+[[nodiscard]] std::string to_text(const resources& amount);
+
+} // namespace chicorylift::core
--- /dev/null
+++ b/include/chicorylift/route/call_router.hpp
@@ -0,0 +1,201 @@
+#pragma once
+
+#include "chicorylift/core/error.hpp"
+#include "chicorylift/core/ids.hpp"
+#include "chicorylift/core/time.hpp"
+#include "chicorylift/terms/terms.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+/// Pure routing decisions of an entry: which upstream gets a call, and what its caller is told.
+namespace chicorylift::route
+{
+
+/// Upstream as its agent announced it.
+struct upstream_info
+{
+    core::worker_id agent;
+    std::string address;
+    std::string incarnation;
+    core::service_id service;
+    std::string zone;
+    std::string region;
+    std::int64_t slots{};
+    bool leaving = false;
+};
+
+/// Call as its caller sent it.
+struct call_spec
+{
+    core::request_id id;
+    core::organisation_id organisation;
+    core::service_id service;
+    bool idempotent = false;
+    core::instant deadline;
+    std::string body;
+};
+
+/// Sends the call to an upstream's agent.
+struct send_call
+{
+    core::request_id id;
+    std::int64_t attempt{};
+    core::worker_id agent;
+};
+
+/// Asks an agent to cancel the call unless it has started.
+struct send_cancel
+{
+    core::request_id id;
+    std::int64_t attempt{};
+    core::worker_id agent;
+};
+
+/// Gives the caller its one answer.
+struct finish_call
+{
+    core::request_id id;
+    /// Set when the call did not get an upstream's answer.
+    std::optional<core::error_kind> error;
+    std::string message;
+    int status{};
+    std::string body;
+};
+
+using route_action = std::variant<send_call, send_cancel, finish_call>;
+
+/// Answer of an agent to one attempt.
+struct attempt_answer
+{
+    core::request_id id;
+    std::int64_t attempt{};
+    core::worker_id agent;
+    std::optional<core::error_kind> error;
+    std::string message;
+    int status{};
+    std::string body;
+};
+
+/// Bounds and times of a router.
+struct router_settings
+{
+    std::string zone;
+    std::string region;
+    std::size_t longest_queue = 1024;
+    std::size_t longest_organisation_queue = 256;
+    /// Entries over which an organisation's rate is divided.
+    std::int64_t entries = 1;
+    core::milliseconds cancel_patience = std::chrono::milliseconds{500};
+    std::uint32_t seed = 1;
+};
+
+/// Chooses upstreams, limits, queues, retries and answers; owns no thread, socket or clock.
+class call_router
+{
+public:
+    explicit call_router(router_settings settings);
+
+    /// Takes in an upstream, or what changed about it.
+    void upstream_joined(const upstream_info& upstream);
+    /// Sends nothing further to the upstream.
+    void upstream_gone(const core::worker_id& agent);
+    /// Applies the organisations' rates.
+    void apply_terms(const terms::terms_in_force& terms, core::instant now);
+
+    /// Takes a call in; the answer may already be among the actions.
+    [[nodiscard]] std::vector<route_action> submit(call_spec call, core::instant now);
+    /// Takes in an agent's answer; a late one for a former attempt is dropped.
+    [[nodiscard]] std::vector<route_action> answered(const attempt_answer& answer,
+                                                     core::instant now);
+    /// Reports that an attempt never left this process.
+    [[nodiscard]] std::vector<route_action> unsent(const core::request_id& id,
+                                                   std::int64_t attempt, core::instant now);
+    /// Lets deadlines pass and queued calls move on.
+    [[nodiscard]] std::vector<route_action> tick(core::instant now);
+
+    /// @return the upstream's address and incarnation, or nullptr when it is not known.
+    [[nodiscard]] const upstream_info* find(const core::worker_id& agent) const noexcept;
+    /// @return a call that has no answer yet, or nullptr.
+    [[nodiscard]] const call_spec* find(const core::request_id& id) const noexcept;
+    /// @return the number of calls without an answer yet.
+    [[nodiscard]] std::size_t open_calls() const noexcept { return this->calls.size(); }
+    /// @return the number of calls waiting for an upstream.
+    [[nodiscard]] std::size_t queued_calls() const noexcept { return this->queued; }
+
+private:
+    struct upstream_state
+    {
+        upstream_info info;
+        std::int64_t outstanding{};
+        std::int64_t failures_in_row{};
+        core::instant avoid_until{};
+    };
+
+    struct call_state
+    {
+        call_spec spec;
+        std::int64_t attempt{};
+        std::int64_t tries{};
+        core::worker_id agent;
+        core::worker_id avoided;
+        bool sent = false;
+        bool cancelling = false;
+        core::instant sent_at{};
+        core::instant due{};
+    };
+
+    struct due_call
+    {
+        core::instant when;
+        core::request_id id;
+        friend auto operator<=>(const due_call&, const due_call&) = default;
+    };
+
+    struct organisation_bucket
+    {
+        double tokens{};
+        double per_second{};
+        core::instant filled{};
+        std::deque<core::request_id> waiting;
+    };
+
+    upstream_state* choose(const call_state& call, core::instant now);
+    [[nodiscard]] double cost_of(const upstream_state& upstream) const noexcept;
+    bool take_token(organisation_bucket& bucket, core::instant now) const;
+    bool dispatch(call_state& call, core::instant now, std::vector<route_action>& actions);
+    void enqueue(call_state& call, core::instant now, std::vector<route_action>& actions);
+    void drain_queues(core::instant now, std::vector<route_action>& actions);
+    void retry_or_finish(call_state& call, core::error_kind kind, const std::string& message,
+                         core::instant now, std::vector<route_action>& actions);
+    void finish(call_state& call, finish_call answer, std::vector<route_action>& actions);
+    void fail(call_state& call, core::error_kind kind, std::string message,
+              std::vector<route_action>& actions);
+    void set_due(call_state& call, core::instant when);
+    void attempt_over(call_state& call);
+    void deadline_reached(call_state& call, core::instant now, std::vector<route_action>& actions);
+    void note_health(const core::worker_id& agent, bool healthy, core::instant now);
+
+    router_settings settings;
+    std::minstd_rand random;
+    std::unordered_map<core::worker_id, upstream_state> upstreams;
+    std::map<core::service_id, std::vector<core::worker_id>> by_service;
+    std::unordered_map<core::request_id, call_state> calls;
+    std::map<core::organisation_id, organisation_bucket> buckets;
+    std::set<due_call> due;
+    core::organisation_id last_served;
+    std::size_t queued{};
+    double retry_tokens;
+    core::milliseconds usual_service_time{0};
+};
+
+} // namespace chicorylift::route
--- /dev/null
+++ b/include/chicorylift/sched/job.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "chicorylift/core/ids.hpp"
+#include "chicorylift/core/resources.hpp"
+#include "chicorylift/core/time.hpp"
+#include "chicorylift/terms/terms.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicorylift::sched
+{
+
+/// Order of urgency among jobs; urgent work starts first.
+enum class job_class
+{
+    urgent,
+    standard,
+    batch,
+};
+
+/// @return "urgent", "standard" or "batch".
+[[nodiscard]] std::string_view to_text(job_class urgency) noexcept;
+/// @return the class with that name, or an error that names @p text and what is allowed.
+[[nodiscard]] absl::StatusOr<job_class> job_class_from(std::string_view text);
+
+/// Gang of equal tasks that starts whole or not at all.
+struct job_spec
+{
+    core::job_id id;
+    core::organisation_id organisation;
+    /// Name of the recurring work; run times are learned by organisation and kind.
+    std::string kind;
+    job_class urgency = job_class::standard;
+    std::int64_t tasks = 1;
+    core::resources per_task;
+    terms::adjacency within = terms::adjacency::zone;
+    bool idempotent = false;
+    bool checkpointable = false;
+    core::milliseconds declared_run_time{};
+    std::optional<core::instant> deadline;
+
+    /// @return whether the job may be stopped and run again, so that its room can be reclaimed.
+    ///
+    /// A job that is not idempotent runs at most once, even when it can be checkpointed: a
+    /// checkpoint that fails while room is reclaimed would leave no truthful way on.
+    [[nodiscard]] bool reclaimable() const noexcept { return this->idempotent; }
+    /// @return the resources of the whole gang.
+    [[nodiscard]] core::resources total() const noexcept { return this->per_task * this->tasks; }
+};
+
+/// Tasks of one gang on one worker.
+struct task_placement
+{
+    core::worker_id worker;
+    std::int64_t tasks{};
+
+    friend bool operator==(const task_placement&, const task_placement&) = default;
+};
+
+/// Phase of a job inside its cell.
+enum class job_phase
+{
+    queued,
+    waiting_for_reclaim,
+    starting,
+    running,
+    stopping,
+};
+
+/// @return the phase's name.
+[[nodiscard]] std::string_view to_text(job_phase phase) noexcept;
+
+/// Why a job waits.
+enum class wait_reason
+{
+    none,
+    not_considered,
+    organisation_limit,
+    no_room,
+    behind_reservation,
+    reclaim_in_progress,
+    capacity_lost,
+};
+
+/// @return a sentence for operators.
+[[nodiscard]] std::string_view to_text(wait_reason reason) noexcept;
+
+/// What an operator is told about one job.
+struct explanation
+{
+    job_phase phase = job_phase::queued;
+    wait_reason reason = wait_reason::none;
+    std::vector<task_placement> placement;
+    std::vector<core::job_id> displaced;
+    core::milliseconds waited{};
+    core::milliseconds expected_run_time{};
+};
+
+} // namespace chicorylift::sched
--- /dev/null
+++ b/src/core/error.cpp
@@ -0,0 +1,134 @@
+#include "chicorylift/core/error.hpp"
+
+#include <absl/strings/cord.h>
+
+#include <array>
+#include <string>
+
+namespace chicorylift::core
+{
+
+namespace
+{
+
+constexpr const char* kind_payload = "chicorylift/error_kind";
+
+constexpr std::array<error_answer, error_kind_count> answers{{
+    {error_kind::invalid_request, "invalid_request", 400, 2, work_ran::no,
+     "the request is malformed"},
+    {error_kind::unauthorised, "unauthorised", 401, 3, work_ran::no, "the token is not known"},
+    {error_kind::forbidden, "forbidden", 403, 3, work_ran::no, "the token does not allow this"},
+    {error_kind::not_found, "not_found", 404, 4, work_ran::no, "there is no such thing"},
+    {error_kind::conflict, "conflict", 409, 5, work_ran::no, "another change came first"},
+    {error_kind::too_large, "too_large", 413, 2, work_ran::no, "the request exceeds a size limit"},
+    {error_kind::rate_limited, "rate_limited", 429, 6, work_ran::no,
+     "the organisation is over its limit"},
+    {error_kind::queue_full, "queue_full", 503, 6, work_ran::no, "the queue is full"},
+    {error_kind::no_upstream, "no_upstream", 503, 7, work_ran::no,
+     "no upstream of the service can take the request"},
+    {error_kind::upstream_full, "upstream_full", 503, 7, work_ran::no,
+     "the upstream has no free slot"},
+    {error_kind::upstream_leaving, "upstream_leaving", 503, 7, work_ran::no,
+     "the upstream is leaving"},
+    {error_kind::deadline_passed, "deadline_passed", 504, 8, work_ran::no,
+     "the deadline passed before the work started"},
+    {error_kind::cancelled, "cancelled", 409, 8, work_ran::no, "cancelled before the work started"},
+    {error_kind::upstream_failed, "upstream_failed", 502, 9, work_ran::yes,
+     "the upstream ran the request and failed"},
+    {error_kind::outcome_unknown, "outcome_unknown", 504, 10, work_ran::unknown,
+     "the request may have run"},
+    {error_kind::store_unavailable, "store_unavailable", 503, 11, work_ran::no,
+     "the platform's store cannot be reached"},
+    {error_kind::store_outcome_unknown, "store_outcome_unknown", 504, 10, work_ran::unknown,
+     "the platform's store may have taken the write"},
+    {error_kind::never_runnable, "never_runnable", 422, 12, work_ran::no,
+     "no possible capacity fits the job"},
+    {error_kind::guarantee_unplaceable, "guarantee_unplaceable", 422, 12, work_ran::no,
+     "the guaranteed shapes do not fit the capacity"},
+    {error_kind::stale_epoch, "stale_epoch", 409, 5, work_ran::no,
+     "a newer lead has taken the cell"},
+    {error_kind::stopping, "stopping", 503, 7, work_ran::no, "the process is stopping"},
+    {error_kind::internal, "internal", 500, 1, work_ran::unknown, "internal error"},
+}};
+
+constexpr absl::StatusCode code_for(error_kind kind) noexcept
+{
+    switch (answers[static_cast<std::size_t>(kind)].http_status)
+    {
+    case 400:
+    case 413:
+        return absl::StatusCode::kInvalidArgument;
+    case 401:
+        return absl::StatusCode::kUnauthenticated;
+    case 403:
+        return absl::StatusCode::kPermissionDenied;
+    case 404:
+        return absl::StatusCode::kNotFound;
+    case 409:
+        return absl::StatusCode::kAborted;
+    case 422:
+        return absl::StatusCode::kFailedPrecondition;
+    case 429:
+        return absl::StatusCode::kResourceExhausted;
+    case 503:
+        return absl::StatusCode::kUnavailable;
+    case 504:
+        return absl::StatusCode::kDeadlineExceeded;
+    default:
+        return absl::StatusCode::kInternal;
+    }
+}
+
+} // namespace
+
+std::span<const error_answer> error_table() noexcept
+{
+    return answers;
+}
+
+const error_answer& answer_for(error_kind kind) noexcept
+{
+    return answers[static_cast<std::size_t>(kind)];
+}
+
+error_kind kind_from_name(std::string_view name) noexcept
+{
+    for (const error_answer& row : answers)
+    {
+        if (row.name == name)
+        {
+            return row.kind;
+        }
+    }
+    return error_kind::internal;
+}
+
+std::string_view to_text(work_ran ran) noexcept
+{
+    switch (ran)
+    {
+    case work_ran::no:
+        return "not_run";
+    case work_ran::yes:
+        return "ran";
+    case work_ran::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+absl::Status make_error(error_kind kind, std::string_view message)
+{
+    // Debian builds Abseil with a string_view of its own, so the texts are passed as strings.
+    absl::Status status(code_for(kind), std::string(message));
+    status.SetPayload(kind_payload, absl::Cord(std::string(answer_for(kind).name)));
+    return status;
+}
+
+error_kind kind_of(const absl::Status& status)
+{
+    const auto payload = status.GetPayload(kind_payload);
+    return payload.has_value() ? kind_from_name(std::string(*payload)) : error_kind::internal;
+}
+
+} // namespace chicorylift::core
--- /dev/null
+++ b/src/daemon/agent.cpp
@@ -0,0 +1,667 @@
+#include "daemon/agent.hpp"
+
+#include "chicorylift/core/error.hpp"
+#include "chicorylift/core/registry.hpp"
+#include "support/log.hpp"
+#include "support/random_name.hpp"
+#include "wire/convert.hpp"
+#include "wire/json.hpp"
+
+#include <algorithm>
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+using core::error_kind;
+
+constexpr std::string_view component = "agent";
+constexpr std::size_t agent_ring = 16384;
+constexpr core::milliseconds agent_tick{50};
+constexpr std::size_t store_threads = 2;
+constexpr std::size_t store_ring = 256;
+constexpr core::milliseconds member_retry{500};
+constexpr core::milliseconds last_write_patience{1000};
+constexpr core::milliseconds candidacy_patience{1000};
+constexpr core::milliseconds upstream_silent_after{5000};
+constexpr core::milliseconds first_look_spread{200};
+constexpr core::milliseconds local_patience{2000};
+constexpr std::uint32_t most_slots = 4096;
+
+std::unique_ptr<store::table> open_table(const settings& values)
+{
+    return core::registry<store::table_adapter>::instance()
+        .find(values.table_adapter)
+        ->open(values.table_address);
+}
+
+} // namespace
+
+agent::agent(settings given)
+    : values(std::move(given)), incarnation(support::random_name()), table(open_table(this->values)),
+      random(std::random_device{}()), store_requests(store_threads, store_ring)
+{
+    this->calls = std::make_unique<agent_calls>(
+        this->incarnation, [this](const std::string& address, wire::envelope message)
+        { this->send(address, std::move(message)); });
+    admit::part_settings times;
+    times.lease = this->values.gang_lease;
+    this->parts = std::make_unique<agent_parts>(
+        times, [this](support::duty::task work) { return this->thread->post(std::move(work)); },
+        [this](const admit::part_key& key, const std::string& state, const std::string& detail)
+        { this->report_part(key, state, detail); });
+    this->lead.heard = core::boot_clock::now();
+    this->thread =
+        std::make_unique<support::duty>(agent_ring, agent_tick, [this] { this->tick(); });
+    net::transport_settings sockets;
+    sockets.listen = this->values.listen;
+    sockets.advertised = this->values.listen;
+    sockets.incarnation = this->incarnation;
+    this->wires = std::make_unique<net::transport>(
+        sockets, [this](wire::envelope message) { this->receive(std::move(message)); },
+        [](const std::string&, const wire::envelope&) {});
+    net::server_limits limits;
+    limits.threads = 8;
+    this->server = std::make_unique<net::http_server>(
+        this->values.http, limits,
+        [this](const net::server_request& request) { return this->answer(request); });
+    support::log::info(component, "ready",
+                       {{"listen", this->values.listen},
+                        {"http", this->server->address()},
+                        {"cell", this->values.cell()},
+                        {"incarnation", this->incarnation}});
+}
+
+agent::~agent()
+{
+    this->server.reset();
+    this->store_requests.stop();
+    this->thread->stop();
+    this->leading.reset();
+    this->parts.reset();
+    this->calls.reset();
+    this->wires.reset();
+}
+
+void agent::stop_gracefully()
+{
+    support::log::info(component, "stopping");
+    std::promise<std::size_t> told;
+    const bool posted = this->thread->post(
+        [this, &told]
+        {
+            this->stopping = true;
+            this->set_leaving(true, true);
+            told.set_value(this->parts->open());
+        });
+    const std::size_t open_parts = posted ? told.get_future().get() : 0;
+    constexpr core::milliseconds pause{20};
+    const core::instant limit = core::boot_clock::now() + this->values.drain_limit;
+    while (this->calls->open() > 0 && core::boot_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(pause);
+    }
+    // Tasks go on at the worker; while there are some, the row tells that an agent will return.
+    if (open_parts == 0)
+    {
+        wire::table_commit transaction = store::new_transaction();
+        store::add_removal(transaction,
+                           "member/" + this->values.cell() + "/" + this->values.name, 0);
+        transaction.mutable_writes(0)->set_any_version(true);
+        static_cast<void>(store::commit_settled(*this->table, transaction, last_write_patience,
+                                                [] { return false; }));
+    }
+    support::log::info(component, "stopped",
+                       {{"open_calls", std::to_string(this->calls->open())},
+                        {"open_parts", std::to_string(open_parts)}});
+}
+
+net::server_response agent::answer(const net::server_request& request)
+{
+    const std::string path = request.path.empty() ? "" : request.path.back();
+    net::server_response response;
+    if (request.method == "POST" && path == "announce")
+    {
+        return this->on_announcement(request);
+    }
+    if (request.method == "POST" && path == "leave")
+    {
+        static_cast<void>(this->thread->post(
+            [this]
+            {
+                this->upstream_leaving = true;
+                this->set_leaving(true, false);
+            }));
+        response.body = "{}";
+        return response;
+    }
+    if (request.method == "GET" && path == "metrics")
+    {
+        const net::transport_counters seen = this->wires->counters();
+        response.content_type = "text/plain";
+        response.body =
+            this->figures.to_text() +
+            "chicorylift_wire_messages_total{kind=\"sent\"} " +
+            std::to_string(seen.messages_sent) +
+            "\nchicorylift_wire_messages_total{kind=\"received\"} " +
+            std::to_string(seen.messages_received) +
+            "\nchicorylift_wire_messages_total{kind=\"malformed\"} " +
+            std::to_string(seen.malformed) + "\n";
+        return response;
+    }
+    if (request.method == "GET" && (path == "status" || path == "healthz"))
+    {
+        auto told = std::make_shared<std::promise<std::string>>();
+        std::future<std::string> text = told->get_future();
+        if (this->thread->post([this, told] { told->set_value(wire::to_json(this->status())); }) &&
+            text.wait_for(local_patience) == std::future_status::ready)
+        {
+            response.body = text.get();
+            return response;
+        }
+        return net::error_response(core::make_error(error_kind::internal, "the agent is stuck"));
+    }
+    return net::error_response(core::make_error(
+        error_kind::not_found, request.method + " \"" + path + "\" does not exist"));
+}
+
+net::server_response agent::on_announcement(const net::server_request& request)
+{
+    wire::announcement upstream;
+    const absl::Status read = wire::from_json(request.body, upstream);
+    if (!read.ok())
+    {
+        return net::error_response(read);
+    }
+    const absl::Status named = wire::check_name("service", upstream.service());
+    if (!named.ok())
+    {
+        return net::error_response(named);
+    }
+    if (upstream.slots() == 0 || upstream.slots() > most_slots || upstream.connections() == 0)
+    {
+        return net::error_response(core::make_error(
+            error_kind::invalid_request, "slots is " + std::to_string(upstream.slots()) +
+                                             " and connections is " +
+                                             std::to_string(upstream.connections()) +
+                                             "; allowed are 1 to 4096"));
+    }
+    static_cast<void>(this->thread->post([this, upstream] { this->announced(upstream); }));
+    net::server_response response;
+    response.body = "{}";
+    return response;
+}
+
+wire::member_status agent::status() const
+{
+    wire::member_status document;
+    document.set_agent(this->values.name);
+    document.set_state(this->is_refusing()    ? "leaving"
+                       : this->is_announced   ? "live"
+                                              : "waiting_for_upstream");
+    document.set_config_version(this->config_version);
+    return document;
+}
+
+void agent::receive(wire::envelope message)
+{
+    // Calls are admitted on the transport's thread, so that a slow duty does not delay them.
+    if (message.body_case() == wire::envelope::kCall)
+    {
+        this->calls->on_call(message.from(), message.call());
+        return;
+    }
+    if (message.body_case() == wire::envelope::kCancel)
+    {
+        this->calls->on_cancel(message.from(), message.cancel());
+        return;
+    }
+    static_cast<void>(this->thread->post([this, message = std::move(message)]
+                                         { this->on_message(message); }));
+}
+
+void agent::on_message(const wire::envelope& message)
+{
+    // A process that was paused must let its leases lapse before it acts on what waited.
+    this->parts->tick();
+    switch (message.body_case())
+    {
+    case wire::envelope::kFencing:
+        this->on_fence(message.from(), message.fencing());
+        break;
+    case wire::envelope::kBeatReply:
+        this->on_heartbeat_reply(message.from(), message.beat_reply());
+        break;
+    case wire::envelope::kConfigNews:
+        this->on_config_news(message.config_news());
+        break;
+    case wire::envelope::kReserve:
+    case wire::envelope::kStart:
+    case wire::envelope::kStop:
+        this->on_order(message);
+        break;
+    case wire::envelope::kLeaving:
+        this->on_operator_leave(message.leaving());
+        break;
+    default:
+        if (this->leading != nullptr)
+        {
+            this->leading->deliver(message);
+        }
+        break;
+    }
+}
+
+void agent::on_fence(const std::string& from, const wire::fence& fence)
+{
+    if (fence.cell() != this->values.cell() || !this->parts->accept_epoch(fence.epoch()))
+    {
+        return;
+    }
+    if (this->leading != nullptr && this->leading->epoch() < fence.epoch())
+    {
+        this->retire_lead();
+    }
+    this->lead.row.set_epoch(fence.epoch());
+    this->lead.row.set_address(from);
+    this->lead.row.set_agent(fence.lead());
+    this->lead.known = true;
+    this->lead.heard = core::boot_clock::now();
+    this->parts->renew();
+    this->send_heartbeat(true);
+}
+
+void agent::on_heartbeat_reply(const std::string& from, const wire::heartbeat_reply& reply)
+{
+    if (!this->parts->accept_epoch(reply.epoch()) || from != this->lead.row.address())
+    {
+        return;
+    }
+    this->lead.heard = core::boot_clock::now();
+    this->parts->renew();
+    if (reply.config_version() > this->config_version)
+    {
+        this->config_version = reply.config_version();
+        support::log::info(component, "configuration in force",
+                           {{"version", std::to_string(this->config_version)}});
+    }
+    if (reply.send_whole())
+    {
+        this->send_heartbeat(true);
+    }
+}
+
+void agent::on_config_news(const wire::config_notice& notice)
+{
+    if (notice.version() <= this->config_version)
+    {
+        return;
+    }
+    this->config_version = notice.version();
+    this->preset = notice.preset();
+    support::log::info(component, "configuration in force",
+                       {{"version", std::to_string(this->config_version)},
+                        {"preset", this->preset}});
+    this->send_heartbeat(false);
+}
+
+void agent::on_operator_leave(const wire::leaving_notice& notice)
+{
+    if (notice.agent() != this->values.name)
+    {
+        // The lead of the cell stops, or a member tells the lead.
+        if (this->leading != nullptr)
+        {
+            wire::envelope message;
+            *message.mutable_leaving() = notice;
+            this->leading->deliver(std::move(message));
+        }
+        else if (notice.agent() == this->lead.row.agent())
+        {
+            this->lead.heard = core::boot_clock::now() - this->values.suspect_after;
+        }
+        return;
+    }
+    this->drained = !notice.returning();
+    this->set_leaving(this->is_refusing(), false);
+}
+
+void agent::on_order(const wire::envelope& message)
+{
+    if (message.has_reserve())
+    {
+        if (this->parts->accept_epoch(message.reserve().epoch()))
+        {
+            this->parts->on_reserve(message.reserve(), this->is_refusing());
+        }
+    }
+    else if (message.has_start())
+    {
+        if (this->parts->accept_epoch(message.start().epoch()))
+        {
+            this->parts->on_start(message.start());
+        }
+    }
+    else if (this->parts->accept_epoch(message.stop().epoch()))
+    {
+        this->parts->on_stop(message.stop());
+    }
+}
+
+void agent::tick()
+{
+    const core::instant now = core::boot_clock::now();
+    this->parts->tick();
+    if (!this->is_announced)
+    {
+        return;
+    }
+    if (!this->upstream_leaving && now - this->announced_at > upstream_silent_after)
+    {
+        support::log::warn(component, "upstream silent", {{"agent", this->values.name}});
+        this->upstream_leaving = true;
+        this->set_leaving(true, false);
+    }
+    if (this->member_dirty && !this->member_writing && now >= this->next_member_write)
+    {
+        this->write_member_row();
+    }
+    if (now >= this->next_beat)
+    {
+        this->send_heartbeat(false);
+    }
+    this->watch_lead(now);
+}
+
+void agent::announced(const wire::announcement& upstream)
+{
+    const core::instant now = core::boot_clock::now();
+    this->announced_at = now;
+    this->calls->announced(upstream);
+    this->parts->announced(upstream);
+    const bool first = !std::exchange(this->is_announced, true);
+    const bool back = std::exchange(this->upstream_leaving, false);
+    wire::member_row row;
+    row.set_agent(this->values.name);
+    row.set_address(this->values.listen);
+    row.set_incarnation(this->incarnation);
+    row.set_cell(this->values.cell());
+    row.set_zone(this->values.zone);
+    row.set_region(this->values.region);
+    row.set_rack(this->values.zone + "-rack-" + std::to_string(this->values.rack));
+    row.set_service(upstream.service());
+    row.set_slots(std::min(upstream.slots(), upstream.connections()));
+    row.set_connections(upstream.connections());
+    *row.mutable_capacity() = upstream.capacity();
+    row.set_leaving(this->is_refusing());
+    if (row.SerializeAsString() != this->member.SerializeAsString())
+    {
+        this->member = row;
+        this->member_dirty = true;
+    }
+    if (first || back)
+    {
+        this->calls->set_leaving(this->is_refusing());
+        std::uniform_int_distribution<std::int64_t> spread(0, first_look_spread.count());
+        this->lead.next_candidacy = now + core::milliseconds{spread(this->random)};
+        this->send_heartbeat(true);
+    }
+}
+
+void agent::set_leaving(bool leaving, bool returning)
+{
+    this->calls->set_leaving(leaving);
+    this->member.set_leaving(leaving);
+    this->member_dirty = this->is_announced;
+    if (leaving)
+    {
+        support::log::info(component, "leaving", {{"agent", this->values.name}});
+        this->tell_leaving(returning);
+    }
+    else
+    {
+        this->send_heartbeat(true);
+    }
+}
+
+void agent::tell_leaving(bool returning)
+{
+    wire::envelope message;
+    message.mutable_leaving()->set_agent(this->values.name);
+    message.mutable_leaving()->set_returning(returning);
+    for (const std::string& entry : this->calls->entries())
+    {
+        this->send(entry, message);
+    }
+    this->send_to_lead(message);
+}
+
+void agent::write_member_row()
+{
+    this->member_writing = true;
+    this->member_dirty = false;
+    wire::table_commit transaction = store::new_transaction();
+    store::add_write(transaction, "member/" + this->values.cell() + "/" + this->values.name, 0,
+                     wire::to_row(this->member));
+    // Only this process writes the row, so the last write may win.
+    transaction.mutable_writes(0)->set_any_version(true);
+    const bool queued = this->store_requests.post(
+        [this, transaction]
+        {
+            const store::commit_result result = this->table->commit(transaction);
+            static_cast<void>(this->thread->post(
+                [this, result]
+                {
+                    this->member_writing = false;
+                    if (result.outcome != store::commit_outcome::applied)
+                    {
+                        std::uniform_int_distribution<std::int64_t> spread(
+                            member_retry.count(), 2 * member_retry.count());
+                        this->member_dirty = true;
+                        this->next_member_write =
+                            core::boot_clock::now() + core::milliseconds{spread(this->random)};
+                    }
+                }));
+        });
+    if (!queued)
+    {
+        this->member_writing = false;
+        this->member_dirty = true;
+    }
+}
+
+void agent::send_heartbeat(bool whole)
+{
+    this->next_beat = core::boot_clock::now() + this->values.heartbeat;
+    if (!this->lead.known || !this->is_announced)
+    {
+        return;
+    }
+    wire::envelope message;
+    wire::heartbeat* beat = message.mutable_beat();
+    beat->set_agent(this->values.name);
+    beat->set_sequence(++this->beat_sequence);
+    beat->set_epoch(this->parts->epoch());
+    beat->set_config_version(this->config_version);
+    const bool can_be_whole = whole && this->parts->is_ready();
+    beat->set_whole(can_be_whole);
+    if (can_be_whole)
+    {
+        *beat->mutable_member() = this->member;
+        for (wire::held_part& part : this->parts->held())
+        {
+            *beat->add_changed_parts() = std::move(part);
+        }
+    }
+    this->send_to_lead(std::move(message));
+}
+
+void agent::report_part(const admit::part_key& key, const std::string& state,
+                        const std::string& detail)
+{
+    wire::envelope message;
+    wire::part_report* report = message.mutable_report();
+    report->set_agent(this->values.name);
+    report->set_job(key.job.str());
+    report->set_attempt(static_cast<std::uint32_t>(key.attempt));
+    report->set_state(state);
+    report->set_detail(detail);
+    report->set_epoch(this->parts->epoch());
+    this->send_to_lead(std::move(message));
+}
+
+void agent::watch_lead(core::instant now)
+{
+    if (this->lead.looking || this->leading != nullptr || this->stopping ||
+        now < this->lead.next_candidacy)
+    {
+        return;
+    }
+    if (!this->lead.known || now - this->lead.heard >= this->values.suspect_after)
+    {
+        this->look_for_lead();
+    }
+}
+
+void agent::look_for_lead()
+{
+    this->lead.looking = this->store_requests.post(
+        [this]
+        {
+            const auto row = this->table->read("lead/" + this->values.cell());
+            static_cast<void>(
+                this->thread->post([this, row] { this->take_lead_row(row); }));
+        });
+}
+
+void agent::take_lead_row(const absl::StatusOr<wire::table_row>& row)
+{
+    this->lead.looking = false;
+    const core::instant now = core::boot_clock::now();
+    std::uniform_int_distribution<std::int64_t> spread(this->values.heartbeat.count() / 4,
+                                                       this->values.heartbeat.count());
+    this->lead.next_candidacy = now + core::milliseconds{spread(this->random)};
+    if (!row.ok() && core::kind_of(row.status()) != error_kind::not_found)
+    {
+        return; // While the store is away nobody can take the cell over.
+    }
+    const std::uint32_t version = row.ok() ? row->version() : 0;
+    const bool changed = version != this->lead.row_version;
+    this->lead.row_version = version;
+    if (row.ok() && (changed || !this->lead.known))
+    {
+        wire::lead_row found;
+        if (wire::from_row(row->value(), found).ok() && found.epoch() >= this->parts->epoch())
+        {
+            this->lead.row = found;
+            this->lead.known = true;
+            // The lead that the row names is given its chance before anyone stands against it.
+            this->lead.heard = now;
+            this->send_heartbeat(true);
+            return;
+        }
+    }
+    if (!row.ok() || now - this->lead.heard >= this->values.suspect_after)
+    {
+        this->stand_for_lead();
+    }
+}
+
+void agent::stand_for_lead()
+{
+    if (this->is_refusing() || !this->parts->is_ready())
+    {
+        return;
+    }
+    wire::lead_row row;
+    row.set_cell(this->values.cell());
+    row.set_epoch(std::max(this->lead.row.epoch(), this->parts->epoch()) + 1);
+    row.set_agent(this->values.name);
+    row.set_address(this->values.listen);
+    row.set_incarnation(this->incarnation);
+    wire::table_commit transaction = store::new_transaction();
+    store::add_write(transaction, "lead/" + this->values.cell(), this->lead.row_version,
+                     wire::to_row(row));
+    this->lead.looking = this->store_requests.post(
+        [this, transaction, epoch = row.epoch()]
+        {
+            const store::commit_result result = store::commit_settled(
+                *this->table, transaction, candidacy_patience, [] { return false; });
+            static_cast<void>(this->thread->post(
+                [this, result, epoch]
+                {
+                    this->lead.looking = false;
+                    if (result.outcome == store::commit_outcome::applied)
+                    {
+                        this->become_lead(epoch, result.version);
+                    }
+                }));
+        });
+}
+
+void agent::become_lead(std::uint32_t epoch, std::uint32_t row_version)
+{
+    if (!this->parts->accept_epoch(epoch))
+    {
+        return;
+    }
+    this->lead.row.set_epoch(epoch);
+    this->lead.row.set_agent(this->values.name);
+    this->lead.row.set_address(this->values.listen);
+    this->lead.row_version = row_version;
+    this->lead.known = true;
+    this->lead.heard = core::boot_clock::now();
+    this->leading = std::make_shared<cell_lead>(
+        lead_context{.values = this->values,
+                     .table = *this->table,
+                     .figures = this->figures,
+                     .send = [this](const std::string& address, wire::envelope message)
+                     { this->send(address, std::move(message)); },
+                     .superseded =
+                         [this]
+                     {
+                         static_cast<void>(
+                             this->thread->post([this] { this->retire_lead(); }));
+                     }},
+        epoch, row_version);
+}
+
+void agent::retire_lead()
+{
+    if (this->leading == nullptr)
+    {
+        return;
+    }
+    this->lead.known = false;
+    std::shared_ptr<cell_lead> former = std::exchange(this->leading, nullptr);
+    // Its end waits for open requests to the store, so it must not hold up this thread.
+    static_cast<void>(this->store_requests.post([former]() mutable { former.reset(); }));
+}
+
+void agent::send_to_lead(wire::envelope message)
+{
+    if (this->lead.known)
+    {
+        this->send(this->lead.row.address(), std::move(message));
+    }
+}
+
+void agent::send(const std::string& address, wire::envelope message)
+{
+    if (!this->wires->send(address, std::move(message)))
+    {
+        this->figures.count("messages_dropped", "ring_full");
+    }
+}
+
+bool agent::is_refusing() const noexcept
+{
+    return this->upstream_leaving || this->drained || this->stopping;
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/agent.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "daemon/agent_calls.hpp"
+#include "daemon/agent_parts.hpp"
+#include "daemon/cell_lead.hpp"
+#include "daemon/settings.hpp"
+#include "net/http_server.hpp"
+#include "net/transport.hpp"
+#include "store/table.hpp"
+#include "support/duty.hpp"
+#include "support/metrics.hpp"
+
+#include <memory>
+#include <random>
+#include <string>
+
+namespace chicorylift::daemon
+{
+
+/// Process beside one upstream: admits work, holds leases, and may lead its cell.
+class agent
+{
+public:
+    explicit agent(settings values);
+    ~agent();
+    agent(const agent&) = delete;
+    agent& operator=(const agent&) = delete;
+
+    /// Takes no new calls, waits for the open ones, and tells the others.
+    void stop_gracefully();
+
+private:
+    struct lead_view
+    {
+        wire::lead_row row;
+        std::uint32_t row_version{};
+        bool known = false;
+        core::instant heard{};
+        core::instant next_candidacy{};
+        bool looking = false;
+    };
+
+    net::server_response answer(const net::server_request& request);
+    net::server_response on_announcement(const net::server_request& request);
+    [[nodiscard]] wire::member_status status() const;
+
+    void receive(wire::envelope message);
+    void on_message(const wire::envelope& message);
+    void on_fence(const std::string& from, const wire::fence& fence);
+    void on_heartbeat_reply(const std::string& from, const wire::heartbeat_reply& reply);
+    void on_config_news(const wire::config_notice& notice);
+    void on_operator_leave(const wire::leaving_notice& notice);
+    void on_order(const wire::envelope& message);
+
+    void tick();
+    void announced(const wire::announcement& upstream);
+    void set_leaving(bool leaving, bool returning);
+    void tell_leaving(bool returning);
+    void write_member_row();
+    void send_heartbeat(bool whole);
+    void report_part(const admit::part_key& key, const std::string& state,
+                     const std::string& detail);
+    void watch_lead(core::instant now);
+    void look_for_lead();
+    void take_lead_row(const absl::StatusOr<wire::table_row>& row);
+    void stand_for_lead();
+    void become_lead(std::uint32_t epoch, std::uint32_t row_version);
+    void retire_lead();
+    void send_to_lead(wire::envelope message);
+    void send(const std::string& address, wire::envelope message);
+    [[nodiscard]] bool is_refusing() const noexcept;
+
+    settings values;
+    std::string incarnation;
+    std::unique_ptr<store::table> table;
+    support::metrics figures;
+    wire::member_row member;
+    bool is_announced = false;
+    bool upstream_leaving = false;
+    bool drained = false;
+    bool stopping = false;
+    bool member_dirty = false;
+    bool member_writing = false;
+    core::instant announced_at{};
+    core::instant next_beat{};
+    core::instant next_member_write{};
+    std::uint32_t beat_sequence{};
+    std::uint32_t config_version{};
+    std::string preset;
+    lead_view lead;
+    std::shared_ptr<cell_lead> leading;
+    std::minstd_rand random;
+    support::duty_pool store_requests;
+    std::unique_ptr<net::transport> wires;
+    std::unique_ptr<agent_calls> calls;
+    std::unique_ptr<support::duty> thread;
+    std::unique_ptr<agent_parts> parts;
+    std::unique_ptr<net::http_server> server;
+};
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/agent_parts.cpp
@@ -0,0 +1,332 @@
+#include "daemon/agent_parts.hpp"
+
+#include "chicorylift/core/error.hpp"
+#include "net/http_client.hpp"
+#include "support/log.hpp"
+#include "wire/convert.hpp"
+#include "wire/json.hpp"
+
+#include <optional>
+#include <utility>
+
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+using admit::part_key;
+using admit::part_phase;
+
+constexpr core::milliseconds look_interval{250};
+constexpr core::milliseconds worker_gone_after{3000};
+constexpr std::size_t request_threads = 4;
+constexpr std::size_t request_ring = 1024;
+constexpr int status_ok = 200;
+constexpr std::string_view component = "parts";
+
+part_key key_of(const wire::part_order& order)
+{
+    return {core::job_id(order.job()), order.attempt()};
+}
+
+std::string task_path(const part_key& key)
+{
+    return "/tasks/" + key.job.str() + "/" + std::to_string(key.attempt);
+}
+
+std::optional<part_phase> phase_from(const std::string& state)
+{
+    for (const part_phase phase : {part_phase::running, part_phase::stopped,
+                                   part_phase::succeeded, part_phase::failed})
+    {
+        if (admit::to_text(phase) == state)
+        {
+            return phase;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+agent_parts::agent_parts(admit::part_settings settings, poster post, reporter report)
+    : table(settings), post(std::move(post)), report(std::move(report)),
+      worker_requests(request_threads, request_ring)
+{
+}
+
+agent_parts::~agent_parts()
+{
+    this->worker_requests.stop();
+}
+
+void agent_parts::announced(const wire::announcement& worker)
+{
+    this->worker_address = worker.address();
+    this->table.set_capacity(wire::to_kernel(worker.capacity()));
+    this->reached = core::boot_clock::now();
+    if (!this->ready)
+    {
+        this->look_up_tasks();
+    }
+}
+
+bool agent_parts::accept_epoch(std::uint32_t epoch)
+{
+    const absl::Status accepted = this->table.accept_epoch(epoch);
+    if (!accepted.ok())
+    {
+        support::log::warn(component, "order of a former lead refused",
+                           {{"reason", std::string(accepted.message())}});
+    }
+    return accepted.ok();
+}
+
+void agent_parts::on_reserve(const wire::reserve_part& order, bool leaving)
+{
+    const part_key key{core::job_id(order.job()), order.attempt()};
+    if (leaving || !this->ready)
+    {
+        this->report(key, "refused", leaving ? "the worker is leaving" : "not ready yet");
+        return;
+    }
+    const absl::Status reserved =
+        this->table.reserve(key, order.tasks(), wire::to_kernel(order.per_task()),
+                            core::milliseconds{order.run_time_ms()}, core::boot_clock::now());
+    if (reserved.ok())
+    {
+        this->report(key, "reserved", "");
+        return;
+    }
+    // A repeated request may cross the start; what the part became is the better answer.
+    const admit::part_state* known = this->table.find(key);
+    const bool runs = known != nullptr && known->phase == part_phase::running;
+    this->report(key, runs ? "started" : "refused", std::string(reserved.message()));
+}
+
+void agent_parts::on_start(const wire::part_order& order)
+{
+    const part_key key = key_of(order);
+    const auto started = this->table.start(key, core::boot_clock::now());
+    if (!started.ok())
+    {
+        const admit::part_state* known = this->table.find(key);
+        const bool final = known != nullptr && admit::is_final(known->phase);
+        this->report(key, final ? std::string(admit::to_text(known->phase)) : "refused",
+                     std::string(started.status().message()));
+        return;
+    }
+    if (*started)
+    {
+        this->start_tasks(*this->table.find(key));
+        return;
+    }
+    const part_phase phase = this->table.find(key)->phase;
+    this->report(key, phase == part_phase::succeeded ? "succeeded" : "started", "");
+}
+
+void agent_parts::on_stop(const wire::part_order& order)
+{
+    const part_key key = key_of(order);
+    if (this->table.stop(key, core::boot_clock::now()))
+    {
+        this->stop_tasks(key, order.checkpoint_first());
+        return;
+    }
+    this->report(key, std::string(admit::to_text(this->table.find(key)->phase)), "");
+}
+
+void agent_parts::tick()
+{
+    const core::instant now = core::boot_clock::now();
+    for (const part_key& key : this->table.lapse(now))
+    {
+        support::log::warn(component, "part stopped: its lease has lapsed",
+                           {{"job", key.job.str()}});
+        this->stop_tasks(key, true);
+    }
+    if (this->table.open() > 0 && now >= this->next_look && !this->looking_up)
+    {
+        this->next_look = now + look_interval;
+        this->look_up_tasks();
+        for (const admit::part_state& part : this->table.all())
+        {
+            if (part.phase == part_phase::stopping)
+            {
+                this->stop_tasks(part.key, false);
+            }
+        }
+    }
+}
+
+std::vector<wire::held_part> agent_parts::held() const
+{
+    const core::instant now = core::boot_clock::now();
+    std::vector<wire::held_part> list;
+    for (const admit::part_state& part : this->table.all())
+    {
+        wire::held_part held;
+        held.set_job(part.key.job.str());
+        held.set_attempt(static_cast<std::uint32_t>(part.key.attempt));
+        held.set_tasks(static_cast<std::uint32_t>(part.tasks));
+        held.set_state(std::string(admit::to_text(part.phase)));
+        held.set_ran_ms(static_cast<std::uint32_t>((now - part.since).count()));
+        list.push_back(std::move(held));
+    }
+    return list;
+}
+
+void agent_parts::look_up_tasks()
+{
+    if (this->looking_up || this->worker_address.empty())
+    {
+        return;
+    }
+    net::client_request request;
+    request.address = this->worker_address;
+    request.path = "/tasks";
+    this->looking_up = this->worker_requests.post(
+        [this, request]
+        {
+            const auto answer = net::exchange(request);
+            wire::worker_task_list listed;
+            const bool read = answer.ok() && answer->status == status_ok &&
+                              wire::from_row(answer->body, listed).ok();
+            static_cast<void>(this->post(
+                [this, read, listed]
+                {
+                    this->looking_up = false;
+                    if (read)
+                    {
+                        this->take_tasks(listed);
+                    }
+                    else
+                    {
+                        this->worker_unreachable();
+                    }
+                }));
+        });
+}
+
+void agent_parts::take_tasks(const wire::worker_task_list& listed)
+{
+    const core::instant now = core::boot_clock::now();
+    this->reached = now;
+    for (const wire::worker_task& task : listed.tasks())
+    {
+        const part_key key{core::job_id(task.job()), task.attempt()};
+        const std::optional<part_phase> phase = phase_from(task.state());
+        if (!phase.has_value())
+        {
+            continue;
+        }
+        const admit::part_state* known = this->table.find(key);
+        if (known == nullptr && !this->ready)
+        {
+            this->table.adopt(key, task.tasks(), {}, *phase, now);
+        }
+        else if (known != nullptr && admit::is_final(*phase) && !admit::is_final(known->phase))
+        {
+            this->end_part(key, *phase, "");
+        }
+    }
+    if (!this->ready)
+    {
+        this->ready = true;
+        support::log::info(component, "worker's tasks taken in",
+                           {{"tasks", std::to_string(listed.tasks_size())}});
+    }
+}
+
+void agent_parts::worker_unreachable()
+{
+    const core::instant now = core::boot_clock::now();
+    if (now - this->reached < worker_gone_after)
+    {
+        return;
+    }
+    for (const admit::part_state& part : this->table.all())
+    {
+        if (part.phase == part_phase::running || part.phase == part_phase::stopping)
+        {
+            this->end_part(part.key, part_phase::failed, "the worker does not answer");
+        }
+    }
+}
+
+void agent_parts::start_tasks(const admit::part_state& part)
+{
+    wire::worker_task task;
+    task.set_job(part.key.job.str());
+    task.set_attempt(static_cast<std::uint32_t>(part.key.attempt));
+    task.set_epoch(this->epoch());
+    task.set_tasks(static_cast<std::uint32_t>(part.tasks));
+    task.set_run_time_ms(static_cast<std::uint32_t>(part.run_time.count()));
+    net::client_request request;
+    request.address = this->worker_address;
+    request.method = "POST";
+    request.path = task_path(part.key);
+    request.body = wire::to_json(task);
+    const part_key key = part.key;
+    const bool queued = this->worker_requests.post(
+        [this, key, request]
+        {
+            const auto answer = net::exchange(request);
+            const bool accepted = answer.ok() && answer->status == status_ok;
+            const bool certain =
+                answer.ok() || core::kind_of(answer.status()) == core::error_kind::no_upstream;
+            static_cast<void>(this->post(
+                [this, key, accepted, certain]
+                {
+                    if (accepted)
+                    {
+                        this->report(key, "started", "");
+                    }
+                    else if (certain)
+                    {
+                        this->end_part(key, part_phase::failed, "the worker refused the tasks");
+                    }
+                    else
+                    {
+                        // The tasks may run; they are stopped before anything is said.
+                        static_cast<void>(this->table.stop(key, core::boot_clock::now()));
+                        this->stop_tasks(key, false);
+                    }
+                }));
+        });
+    if (!queued)
+    {
+        this->end_part(key, part_phase::failed, "too many requests to the worker");
+    }
+}
+
+void agent_parts::stop_tasks(const part_key& key, bool checkpoint_first)
+{
+    net::client_request request;
+    request.address = this->worker_address;
+    request.method = "DELETE";
+    request.path = task_path(key) + (checkpoint_first ? "/checkpoint" : "/now");
+    static_cast<void>(this->worker_requests.post(
+        [this, key, request]
+        {
+            const auto answer = net::exchange(request);
+            if (!answer.ok() || answer->status != status_ok)
+            {
+                return; // The lead repeats the order; a lapsed part is listed by the worker.
+            }
+            wire::worker_task task;
+            static_cast<void>(wire::from_row(answer->body, task));
+            const part_phase final = phase_from(task.state()).value_or(part_phase::stopped);
+            static_cast<void>(
+                this->post([this, key, final] { this->end_part(key, final, ""); }));
+        }));
+}
+
+void agent_parts::end_part(const part_key& key, part_phase final, const std::string& detail)
+{
+    this->table.ended(key, final, core::boot_clock::now());
+    this->report(key, std::string(admit::to_text(this->table.find(key)->phase)), detail);
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/cell_lead.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "chicorylift/gang/gang_driver.hpp"
+#include "chicorylift/sched/cell_scheduler.hpp"
+#include "daemon/config_view.hpp"
+#include "daemon/settings.hpp"
+#include "store/table.hpp"
+#include "support/duty.hpp"
+#include "support/metrics.hpp"
+#include "wire/wire.pb.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace chicorylift::daemon
+{
+
+/// What a lead needs from the process that it runs in.
+struct lead_context
+{
+    const settings& values;
+    store::table& table;
+    support::metrics& figures;
+    /// Queues a message for another process.
+    std::function<void(const std::string&, wire::envelope)> send;
+    /// Called on the lead's thread when another lead has taken the cell.
+    std::function<void()> superseded;
+};
+
+/// Leads one cell in one epoch: hears its members, places jobs, drives gangs.
+///
+/// The lease is the pair of cell and epoch in the table: each write of a lead is conditional on
+/// that row, and agents refuse lower epochs.
+class cell_lead
+{
+public:
+    cell_lead(lead_context context, std::uint32_t epoch, std::uint32_t lead_row_version);
+    ~cell_lead();
+    cell_lead(const cell_lead&) = delete;
+    cell_lead& operator=(const cell_lead&) = delete;
+
+    /// Hands a message to the lead's thread.
+    void deliver(wire::envelope message);
+    /// @return the lead's epoch.
+    [[nodiscard]] std::uint32_t epoch() const noexcept { return this->my_epoch; }
+
+private:
+    enum class member_phase
+    {
+        live,
+        leaving,
+        lost,
+    };
+
+    struct member
+    {
+        wire::member_row row;
+        member_phase phase = member_phase::live;
+        bool reported_whole = false;
+        bool ask_whole = true;
+        /// Parts that the next whole report leaves out are gone.
+        bool verify_parts = false;
+        std::uint32_t config_version{};
+        core::instant heard{};
+        /// Announced restarts are given longer before they cost a gang.
+        bool returning = false;
+    };
+
+    struct driven_job
+    {
+        wire::job_row row;
+        std::uint32_t row_version{};
+        core::instant accepted{};
+        std::unique_ptr<gang::gang_driver> driver;
+        std::vector<sched::task_placement> placement;
+        bool write_in_flight = false;
+        bool resuming = false;
+    };
+
+    struct pending_write
+    {
+        std::string job;
+        wire::job_row row;
+        std::function<void(bool applied)> then;
+    };
+
+    // Taking the cell over.
+    void load();
+    void take_members(const wire::table_rows& listed);
+    void take_jobs(const wire::table_rows& listed);
+    void take_job_row(const wire::table_row& row);
+    void take_config(const wire::config_delta& delta);
+    void finish_fencing();
+    void resume_job(driven_job& job);
+
+    // Messages.
+    void on_message(const wire::envelope& message);
+    void on_heartbeat(const std::string& from, const std::string& incarnation,
+                      const wire::heartbeat& beat);
+    void settle_missing_parts(const core::worker_id& worker, const wire::heartbeat& beat);
+    void on_held_part(const core::worker_id& worker, const wire::held_part& part);
+    void on_report(const wire::part_report& report);
+    void on_leaving(const wire::leaving_notice& notice);
+    void on_subscription(const std::string& from, const wire::subscribe& subscription);
+    void on_explain(const std::string& from, const wire::explain_request& question);
+
+    // Deciding and carrying out.
+    void tick();
+    void check_members(core::instant now);
+    void decide();
+    void carry_out(const sched::decision& step);
+    void start_job(driven_job& job, const sched::decision& step);
+    void run_driver(const std::string& id);
+    void drive(driven_job& job, const gang::gang_action& action);
+    void commit_gang(driven_job& job);
+    void attempt_over(driven_job& job, const gang::report_result& result);
+    void conclude(driven_job& job, const std::string& state, const std::string& detail);
+    void write_job(pending_write write);
+    void write_done(const pending_write& write, const store::commit_result& result);
+    void refresh_jobs();
+    void refresh_config();
+    void step_down(const std::string& why);
+
+    // Telling others.
+    void send_to(const core::worker_id& worker, wire::envelope message);
+    void send_fence(member& to);
+    void tell_config(const member& to);
+    [[nodiscard]] wire::cell_document summary() const;
+    [[nodiscard]] gang::gang_settings gang_times() const;
+    [[nodiscard]] static bool lists_part(const wire::heartbeat& beat, const wire::job_row& job);
+    [[nodiscard]] std::string job_key(const std::string& id) const;
+
+    lead_context context;
+    std::uint32_t my_epoch;
+    std::uint32_t lead_row_version;
+    std::string cell;
+    std::string lead_key;
+    std::string job_prefix;
+    config_view config;
+    sched::cell_scheduler scheduler;
+    std::map<core::worker_id, member> members;
+    std::map<std::string, driven_job> jobs;
+    std::set<std::string> concluded;
+    std::uint32_t jobs_version{};
+    bool loaded = false;
+    bool fencing = true;
+    bool refreshing_jobs = false;
+    bool refreshing_config = false;
+    std::atomic<bool> over = false;
+    core::instant fence_until{};
+    core::instant next_jobs_refresh{};
+    core::instant next_config_refresh{};
+    core::instant fresh_config_at{};
+    support::duty_pool store_requests;
+    support::duty thread;
+};
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/cell_lead_jobs.cpp
@@ -0,0 +1,330 @@
+#include "daemon/cell_lead.hpp"
+
+#include "chicorylift/core/error.hpp"
+#include "support/log.hpp"
+#include "wire/convert.hpp"
+#include "wire/json.hpp"
+
+#include <utility>
+
+/// The lead's part that drives jobs: starts, stops, commits and conclusions.
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+constexpr std::string_view component = "lead";
+// A certain outcome is needed before anything starts, however long the store is away.
+constexpr core::milliseconds commit_patience = std::chrono::hours{24};
+constexpr std::size_t most_concluded_remembered = 100'000;
+
+} // namespace
+
+void cell_lead::carry_out(const sched::decision& step)
+{
+    const auto found = this->jobs.find(step.job.str());
+    if (found == this->jobs.end())
+    {
+        return;
+    }
+    driven_job& job = found->second;
+    support::log::info(component, "decision",
+                       {{"kind", std::string(sched::to_text(step.kind))},
+                        {"job", step.job.str()},
+                        {"reason", std::string(sched::to_text(step.reason))},
+                        {"detail", step.detail}});
+    switch (step.kind)
+    {
+    case sched::decision_kind::start:
+        this->start_job(job, step);
+        break;
+    case sched::decision_kind::stop:
+        if (step.reason == sched::stop_reason::reclaimed)
+        {
+            this->context.figures.count("jobs_reclaimed", job.row.organisation());
+        }
+        if (job.driver != nullptr)
+        {
+            job.driver->stop(core::boot_clock::now());
+            this->run_driver(step.job.str());
+        }
+        break;
+    case sched::decision_kind::refuse:
+        this->conclude(job, "refused", step.detail);
+        break;
+    case sched::decision_kind::give_up:
+        this->conclude(job, "unknown", step.detail);
+        break;
+    }
+}
+
+void cell_lead::start_job(driven_job& job, const sched::decision& step)
+{
+    job.placement = step.placement;
+    job.row.set_attempt(job.row.attempt() + 1);
+    job.row.set_epoch(this->my_epoch);
+    job.driver = std::make_unique<gang::gang_driver>(step.placement,
+                                                     job.row.request().checkpointable(),
+                                                     this->gang_times(), core::boot_clock::now());
+    this->run_driver(job.row.id());
+}
+
+void cell_lead::run_driver(const std::string& id)
+{
+    // Carrying out an action can conclude the job, so it is looked up anew each time.
+    for (auto found = this->jobs.find(id); found != this->jobs.end(); found = this->jobs.find(id))
+    {
+        if (found->second.driver == nullptr)
+        {
+            return;
+        }
+        const std::vector<gang::gang_action> actions = found->second.driver->take_actions();
+        if (actions.empty())
+        {
+            return;
+        }
+        for (const gang::gang_action& action : actions)
+        {
+            const auto still = this->jobs.find(id);
+            if (still == this->jobs.end())
+            {
+                return;
+            }
+            this->drive(still->second, action);
+        }
+    }
+}
+
+void cell_lead::drive(driven_job& job, const gang::gang_action& action)
+{
+    const auto fill_order = [this, &job](wire::part_order* order)
+    {
+        order->set_job(job.row.id());
+        order->set_attempt(job.row.attempt());
+        order->set_epoch(this->my_epoch);
+    };
+    wire::envelope message;
+    if (const auto* ask = std::get_if<gang::ask_reserve>(&action))
+    {
+        wire::reserve_part* reserve = message.mutable_reserve();
+        reserve->set_job(job.row.id());
+        reserve->set_attempt(job.row.attempt());
+        reserve->set_epoch(this->my_epoch);
+        reserve->set_tasks(static_cast<std::uint32_t>(ask->tasks));
+        *reserve->mutable_per_task() = job.row.request().per_task();
+        reserve->set_run_time_ms(job.row.request().declared_run_time_ms());
+        reserve->set_kind(job.row.request().kind());
+        this->send_to(ask->worker, std::move(message));
+    }
+    else if (const auto* start = std::get_if<gang::order_start>(&action))
+    {
+        fill_order(message.mutable_start());
+        this->send_to(start->worker, std::move(message));
+    }
+    else if (const auto* stop = std::get_if<gang::order_stop>(&action))
+    {
+        fill_order(message.mutable_stop());
+        message.mutable_stop()->set_checkpoint_first(stop->checkpoint_first);
+        this->send_to(stop->worker, std::move(message));
+    }
+    else if (const auto* result = std::get_if<gang::report_result>(&action))
+    {
+        this->attempt_over(job, *result);
+    }
+    else
+    {
+        this->commit_gang(job);
+    }
+}
+
+void cell_lead::commit_gang(driven_job& job)
+{
+    wire::job_row row = job.row;
+    row.set_state("committed");
+    wire::set_placement(job.placement, *row.mutable_placement());
+    const std::string id = job.row.id();
+    const std::uint32_t attempt = job.row.attempt();
+    this->write_job({.job = id,
+                     .row = std::move(row),
+                     .then = [this, id, attempt](bool applied)
+                     {
+                         const auto found = this->jobs.find(id);
+                         if (found != this->jobs.end() && found->second.driver != nullptr &&
+                             found->second.row.attempt() == attempt)
+                         {
+                             found->second.driver->commit_written(applied,
+                                                                  core::boot_clock::now());
+                             this->run_driver(id);
+                         }
+                     }});
+}
+
+void cell_lead::attempt_over(driven_job& job, const gang::report_result& result)
+{
+    const core::instant now = core::boot_clock::now();
+    const core::job_id id(job.row.id());
+    const std::string organisation = job.row.organisation();
+    const std::string urgency = job.row.request().class_();
+    if (result.result == gang::attempt_result::running)
+    {
+        this->scheduler.job_started(id, now);
+        this->context.figures.observe("start_delay", organisation, urgency, now - job.accepted);
+        return;
+    }
+    job.driver.reset();
+    const std::string culprit = result.culprit.has_value() ? result.culprit->str() : "";
+    switch (result.result)
+    {
+    case gang::attempt_result::never_started:
+        this->scheduler.start_refused(id, core::worker_id(culprit), now);
+        break;
+    case gang::attempt_result::succeeded:
+        this->scheduler.job_finished(id, sched::job_end::succeeded, std::nullopt, now);
+        this->context.figures.observe("completion", organisation, urgency, now - job.accepted);
+        break;
+    case gang::attempt_result::failed:
+        this->scheduler.job_finished(id, sched::job_end::failed, result.culprit, now);
+        break;
+    case gang::attempt_result::stopped:
+    case gang::attempt_result::running:
+        this->scheduler.job_stopped(id, now);
+        break;
+    }
+    if (this->scheduler.explain(id, now).has_value())
+    {
+        // Queued again; a non-idempotent job that may have run is given up by the next decision.
+        this->decide();
+        return;
+    }
+    if (result.result == gang::attempt_result::succeeded)
+    {
+        this->conclude(job, "succeeded", "");
+    }
+    else if (result.result == gang::attempt_result::failed)
+    {
+        this->conclude(job, "failed", culprit.empty() ? "" : "on worker " + culprit);
+    }
+    else if (job.row.cancel_requested())
+    {
+        this->conclude(job, "cancelled",
+                       result.result == gang::attempt_result::never_started
+                           ? "cancelled before it started"
+                           : "cancelled while it ran");
+    }
+    else
+    {
+        this->decide();
+    }
+}
+
+void cell_lead::conclude(driven_job& job, const std::string& state, const std::string& detail)
+{
+    job.row.set_state(state);
+    job.row.set_detail(detail);
+    job.driver.reset();
+    const std::string id = job.row.id();
+    this->context.figures.count("jobs_ended", state);
+    support::log::info(component, "job ended",
+                       {{"job", id}, {"state", state}, {"detail", detail}});
+    this->write_job({.job = id,
+                     .row = job.row,
+                     .then = [this, id](bool applied)
+                     {
+                         if (!applied)
+                         {
+                             return;
+                         }
+                         if (this->concluded.size() >= most_concluded_remembered)
+                         {
+                             this->concluded.clear();
+                         }
+                         this->concluded.insert(id);
+                         this->jobs.erase(id);
+                     }});
+}
+
+void cell_lead::write_job(pending_write write)
+{
+    const auto found = this->jobs.find(write.job);
+    if (found == this->jobs.end())
+    {
+        return;
+    }
+    found->second.write_in_flight = true;
+    wire::table_commit transaction = store::new_transaction();
+    store::add_write(transaction, this->job_key(write.job), found->second.row_version,
+                     wire::to_row(write.row));
+    store::add_check(transaction, this->lead_key, this->lead_row_version);
+    const bool queued = this->store_requests.post(
+        [this, write, transaction]
+        {
+            const store::commit_result result =
+                store::commit_settled(this->context.table, transaction, commit_patience,
+                                      [this] { return this->over.load(); });
+            static_cast<void>(
+                this->thread.post([this, write, result] { this->write_done(write, result); }));
+        });
+    if (!queued)
+    {
+        this->step_down("the ring to the store is full");
+    }
+}
+
+void cell_lead::write_done(const pending_write& write, const store::commit_result& result)
+{
+    const auto found = this->jobs.find(write.job);
+    if (found == this->jobs.end() || this->over)
+    {
+        return;
+    }
+    driven_job& job = found->second;
+    job.write_in_flight = false;
+    if (result.outcome == store::commit_outcome::applied)
+    {
+        job.row_version = result.version;
+        write.then(true);
+        return;
+    }
+    if (result.conflicting.key() == this->lead_key)
+    {
+        this->step_down("the cell's row names another lead");
+        return;
+    }
+    wire::job_row present;
+    if (result.conflicting.key().empty() ||
+        !wire::from_row(result.conflicting.value(), present).ok())
+    {
+        this->step_down("the outcome of a write is not known");
+        return;
+    }
+    job.row_version = result.conflicting.version();
+    job.row.set_cancel_requested(present.cancel_requested());
+    const bool ours = present.state() == write.row.state() &&
+                      present.attempt() == write.row.attempt() &&
+                      present.epoch() == write.row.epoch();
+    if (ours)
+    {
+        // Taken before the cancellation was written on top of it.
+        write.then(true);
+        if (present.cancel_requested())
+        {
+            this->scheduler.cancel(core::job_id(write.job));
+            this->decide();
+        }
+        return;
+    }
+    if (write.row.state() == "committed")
+    {
+        this->scheduler.cancel(core::job_id(write.job));
+        write.then(false);
+        this->decide();
+        return;
+    }
+    // A final state stands whatever was asked meanwhile.
+    pending_write again = write;
+    again.row.set_cancel_requested(present.cancel_requested());
+    this->write_job(std::move(again));
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/entry.cpp
@@ -0,0 +1,421 @@
+#include "daemon/entry.hpp"
+
+#include "chicorylift/core/error.hpp"
+#include "chicorylift/core/registry.hpp"
+#include "support/log.hpp"
+#include "support/random_name.hpp"
+#include "wire/convert.hpp"
+#include "wire/json.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// The entry's part that runs on its own threads: routing, reading the table, messages.
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+constexpr std::string_view component = "entry";
+constexpr std::size_t routing_ring = 16384;
+constexpr core::milliseconds routing_interval{10};
+constexpr core::milliseconds reading_interval{50};
+constexpr core::milliseconds subscription_interval{2000};
+// Calls may run this much longer than their caller waits, while a cancellation settles.
+constexpr core::milliseconds patience_margin{200};
+
+std::unique_ptr<store::table> open_table(const settings& values)
+{
+    return core::registry<store::table_adapter>::instance()
+        .find(values.table_adapter)
+        ->open(values.table_address);
+}
+
+route::router_settings routing_settings(const settings& values)
+{
+    route::router_settings chosen;
+    chosen.zone = values.zone;
+    chosen.region = values.region;
+    chosen.entries = values.entries;
+    chosen.seed = static_cast<std::uint32_t>(std::hash<std::string>{}(values.name));
+    return chosen;
+}
+
+} // namespace
+
+entry::entry(settings given)
+    : values(std::move(given)), incarnation(support::random_name()),
+      table(open_table(this->values)), router(routing_settings(this->values))
+{
+    this->operators = std::make_unique<entry_operators>(
+        *this->table,
+        [this]
+        {
+            std::map<std::string, entry_operators::cell_capacity> cells;
+            const std::lock_guard lock(this->guard);
+            for (const auto& [id, known] : this->members)
+            {
+                entry_operators::cell_capacity& one = cells[known.cell()];
+                one.cell = known.cell();
+                one.workers.push_back(wire::to_worker(known));
+            }
+            std::vector<entry_operators::cell_capacity> list;
+            for (auto& [cell, one] : cells)
+            {
+                list.push_back(std::move(one));
+            }
+            return list;
+        },
+        [this](const wire::config_delta& delta) { this->take_config(delta); });
+    this->routing = std::make_unique<support::duty>(routing_ring, routing_interval,
+                                                    [this] { this->routing_tick(); });
+    net::transport_settings sockets;
+    sockets.listen = this->values.listen;
+    sockets.advertised = this->values.listen;
+    sockets.incarnation = this->incarnation;
+    this->wires = std::make_unique<net::transport>(
+        sockets, [this](wire::envelope message) { this->receive(std::move(message)); },
+        [this](const std::string&, const wire::envelope& message) { this->bounced(message); });
+    this->reading = std::make_unique<support::duty>(1, this->values.config_poll,
+                                                    [this] { this->read_table(); });
+    net::server_limits limits;
+    limits.threads = 256;
+    this->server = std::make_unique<net::http_server>(
+        this->values.http, limits,
+        [this](const net::server_request& request) { return this->answer(request); });
+    support::log::info(component, "ready",
+                       {{"listen", this->values.listen}, {"http", this->server->address()}});
+}
+
+entry::~entry()
+{
+    this->server.reset();
+    this->reading->stop();
+    this->wires.reset();
+    this->routing->stop();
+}
+
+void entry::stop_gracefully()
+{
+    support::log::info(component, "stopping");
+    this->stopping = true;
+    this->server->drain(this->values.drain_limit);
+    support::log::info(component, "stopped");
+}
+
+void entry::receive(wire::envelope message)
+{
+    static_cast<void>(this->routing->post(
+        [this, message = std::move(message)]
+        {
+            switch (message.body_case())
+            {
+            case wire::envelope::kReply:
+                this->on_reply(message.from(), message.reply());
+                break;
+            case wire::envelope::kSummary:
+                this->on_summary(message.from(), message.summary());
+                break;
+            case wire::envelope::kLeaving:
+                this->router.upstream_gone(core::worker_id(message.leaving().agent()));
+                break;
+            case wire::envelope::kExplained:
+            {
+                const std::lock_guard lock(this->guard);
+                const auto asked = this->questions.find(message.explained().question());
+                if (asked != this->questions.end())
+                {
+                    asked->second->set_value(message.explained());
+                    this->questions.erase(asked);
+                }
+                break;
+            }
+            default:
+                break;
+            }
+        }));
+}
+
+void entry::bounced(const wire::envelope& message)
+{
+    if (!message.has_call())
+    {
+        return;
+    }
+    static_cast<void>(this->routing->post(
+        [this, id = core::request_id(message.call().request()), attempt = message.call().attempt()]
+        { this->carry_out(this->router.unsent(id, attempt, core::boot_clock::now())); }));
+}
+
+void entry::on_reply(const std::string& from, const wire::call_reply& reply)
+{
+    const auto agent = this->agent_by_address.find(from);
+    if (agent == this->agent_by_address.end())
+    {
+        return;
+    }
+    route::attempt_answer answer;
+    answer.id = core::request_id(reply.request());
+    answer.attempt = reply.attempt();
+    answer.agent = core::worker_id(agent->second);
+    if (!reply.error().empty())
+    {
+        answer.error = core::kind_from_name(reply.error());
+    }
+    answer.message = reply.message();
+    answer.status = static_cast<int>(reply.status());
+    answer.body = reply.body();
+    this->carry_out(this->router.answered(answer, core::boot_clock::now()));
+}
+
+void entry::on_summary(const std::string& from, const wire::cell_document& summary)
+{
+    wire::envelope message;
+    {
+        const std::lock_guard lock(this->guard);
+        known_lead& lead = this->leads[summary.cell()];
+        if (summary.epoch() < lead.summary.epoch())
+        {
+            return;
+        }
+        lead.summary = summary;
+        lead.row.set_address(from);
+        lead.heard = core::boot_clock::now();
+        if (summary.config_version() < this->config.head().version())
+        {
+            *message.mutable_config() = this->config.since(summary.config_version());
+        }
+    }
+    if (message.has_config())
+    {
+        this->send(from, std::move(message));
+    }
+}
+
+void entry::carry_out(std::vector<route::route_action> actions)
+{
+    for (route::route_action& action : actions)
+    {
+        if (const auto* call = std::get_if<route::send_call>(&action))
+        {
+            this->send_call(*call);
+        }
+        else if (const auto* cancel = std::get_if<route::send_cancel>(&action))
+        {
+            const route::upstream_info* upstream = this->router.find(cancel->agent);
+            if (upstream == nullptr)
+            {
+                continue;
+            }
+            wire::envelope message;
+            message.mutable_cancel()->set_request(cancel->id.str());
+            message.mutable_cancel()->set_attempt(static_cast<std::uint32_t>(cancel->attempt));
+            message.mutable_cancel()->set_target_incarnation(upstream->incarnation);
+            this->send(upstream->address, std::move(message));
+        }
+        else if (auto* finished = std::get_if<route::finish_call>(&action))
+        {
+            const auto found = this->waiting.find(finished->id.str());
+            if (found != this->waiting.end())
+            {
+                const std::shared_ptr<answer_promise> promise = found->second;
+                this->waiting.erase(found);
+                promise->set_value(std::move(*finished));
+            }
+        }
+    }
+}
+
+void entry::send_call(const route::send_call& step)
+{
+    const route::upstream_info* upstream = this->router.find(step.agent);
+    const route::call_spec* call = this->router.find(step.id);
+    if (upstream == nullptr || call == nullptr)
+    {
+        return;
+    }
+    wire::envelope message;
+    wire::call_request* request = message.mutable_call();
+    request->set_request(step.id.str());
+    request->set_attempt(static_cast<std::uint32_t>(step.attempt));
+    request->set_organisation(call->organisation.str());
+    request->set_service(call->service.str());
+    request->set_target_incarnation(upstream->incarnation);
+    request->set_idempotent(call->idempotent);
+    const core::milliseconds left = call->deadline - core::boot_clock::now() + patience_margin;
+    request->set_patience_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1)));
+    request->set_body(call->body);
+    if (!this->wires->send(upstream->address, std::move(message)))
+    {
+        this->carry_out(this->router.unsent(step.id, step.attempt, core::boot_clock::now()));
+    }
+}
+
+void entry::routing_tick()
+{
+    this->carry_out(this->router.tick(core::boot_clock::now()));
+}
+
+void entry::read_table()
+{
+    const auto config_rows = [this]
+    {
+        std::uint32_t after = 0;
+        {
+            const std::lock_guard lock(this->guard);
+            after = this->config.table_version();
+        }
+        return this->table->list(std::string(config_prefix), after);
+    }();
+    const auto member_rows = this->table->list("member/", this->members_version);
+    const auto lead_rows = this->table->list("lead/", this->leads_version);
+    this->store_reachable = config_rows.ok() && member_rows.ok() && lead_rows.ok();
+    if (config_rows.ok())
+    {
+        std::uint32_t from = 0;
+        {
+            const std::lock_guard lock(this->guard);
+            from = this->config.head().version();
+        }
+        this->take_config(to_delta(*config_rows, from));
+    }
+    if (member_rows.ok())
+    {
+        this->take_members(*member_rows);
+    }
+    if (lead_rows.ok())
+    {
+        this->take_leads(*lead_rows);
+    }
+    if (core::boot_clock::now() >= this->next_subscription)
+    {
+        this->next_subscription = core::boot_clock::now() + subscription_interval;
+        this->subscribe();
+    }
+}
+
+void entry::take_members(const wire::table_rows& listed)
+{
+    this->members_version = std::max(this->members_version, listed.version());
+    for (const wire::table_row& row : listed.rows())
+    {
+        const std::string name = row.key().substr(row.key().rfind('/') + 1);
+        wire::member_row found;
+        const bool gone = row.removed() || !wire::from_row(row.value(), found).ok();
+        {
+            const std::lock_guard lock(this->guard);
+            if (gone)
+            {
+                this->members.erase(name);
+            }
+            else
+            {
+                this->members[name] = found;
+            }
+        }
+        const route::upstream_info upstream{core::worker_id(name),
+                                            found.address(),
+                                            found.incarnation(),
+                                            core::service_id(found.service()),
+                                            found.zone(),
+                                            found.region(),
+                                            found.slots(),
+                                            found.leaving()};
+        static_cast<void>(this->routing->post(
+            [this, gone, upstream]
+            {
+                if (gone || upstream.leaving)
+                {
+                    this->router.upstream_gone(upstream.agent);
+                    return;
+                }
+                this->router.upstream_joined(upstream);
+                this->agent_by_address[upstream.address] = upstream.agent.str();
+            }));
+    }
+}
+
+void entry::take_leads(const wire::table_rows& listed)
+{
+    this->leads_version = std::max(this->leads_version, listed.version());
+    const std::lock_guard lock(this->guard);
+    for (const wire::table_row& row : listed.rows())
+    {
+        wire::lead_row found;
+        if (row.removed() || !wire::from_row(row.value(), found).ok())
+        {
+            continue;
+        }
+        known_lead& lead = this->leads[found.cell()];
+        if (found.epoch() > lead.row.epoch())
+        {
+            lead.row = found;
+            this->next_subscription = {};
+        }
+    }
+}
+
+void entry::take_config(const wire::config_delta& delta)
+{
+    std::vector<std::string> addresses;
+    wire::envelope message;
+    absl::StatusOr<terms::terms_in_force> terms;
+    {
+        const std::lock_guard lock(this->guard);
+        const std::uint32_t former = this->config.head().version();
+        if (!this->config.apply(delta))
+        {
+            return;
+        }
+        support::log::info(component, "configuration in force",
+                           {{"version", std::to_string(this->config.head().version())},
+                            {"preset", this->config.head().preset_in_force()}});
+        *message.mutable_config() = this->config.since(former);
+        for (const auto& [cell, lead] : this->leads)
+        {
+            addresses.push_back(lead.row.address());
+        }
+        terms = this->config.terms_in_force();
+    }
+    for (const std::string& address : addresses)
+    {
+        this->send(address, message);
+    }
+    if (terms.ok())
+    {
+        static_cast<void>(this->routing->post(
+            [this, terms = *terms]
+            { this->router.apply_terms(terms, core::boot_clock::now()); }));
+    }
+}
+
+void entry::subscribe()
+{
+    std::vector<std::string> addresses;
+    wire::envelope message;
+    {
+        const std::lock_guard lock(this->guard);
+        // Without the store this copy may be old, and says nothing about freshness.
+        message.mutable_subscription()->set_config_version(
+            this->store_reachable ? this->config.head().version() : 0);
+        for (const auto& [cell, lead] : this->leads)
+        {
+            addresses.push_back(lead.row.address());
+        }
+    }
+    for (const std::string& address : addresses)
+    {
+        this->send(address, message);
+    }
+}
+
+void entry::send(const std::string& address, wire::envelope message)
+{
+    if (!this->wires->send(address, std::move(message)))
+    {
+        this->figures.count("messages_dropped", "ring_full");
+    }
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/entry.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "chicorylift/route/call_router.hpp"
+#include "daemon/config_view.hpp"
+#include "daemon/entry_operators.hpp"
+#include "daemon/settings.hpp"
+#include "net/http_server.hpp"
+#include "net/transport.hpp"
+#include "store/table.hpp"
+#include "support/duty.hpp"
+#include "support/metrics.hpp"
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace chicorylift::daemon
+{
+
+/// Process that callers and operators speak to: routes calls, accepts jobs, changes configuration.
+class entry
+{
+public:
+    explicit entry(settings values);
+    ~entry();
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+
+    /// Accepts no new requests and waits until the open ones have their answers.
+    void stop_gracefully();
+
+private:
+    struct known_lead
+    {
+        wire::lead_row row;
+        wire::cell_document summary;
+        core::instant heard{};
+    };
+
+    struct caller
+    {
+        std::string organisation;
+        bool is_operator = false;
+    };
+
+    using answer_promise = std::promise<route::finish_call>;
+
+    // HTTP.
+    net::server_response answer(const net::server_request& request);
+    net::server_response dispatch(const net::server_request& request, const caller& who);
+    [[nodiscard]] absl::StatusOr<caller> identify(const net::server_request& request) const;
+    net::server_response on_call(const net::server_request& request, const caller& who);
+    net::server_response run_call(const net::server_request& request, const caller& who,
+                                  const std::string& id);
+    net::server_response on_claimed_call(const net::server_request& request, const caller& who,
+                                         const std::string& id, const std::string& key);
+    net::server_response on_submit(const net::server_request& request, const caller& who);
+    net::server_response on_job(const net::server_request& request, const caller& who);
+    net::server_response on_cancel(const caller& who, const wire::table_row& row,
+                                   wire::job_row job);
+    net::server_response on_explain(const std::string& job);
+    net::server_response on_drain(const net::server_request& request);
+    [[nodiscard]] net::server_response on_status() const;
+    [[nodiscard]] net::server_response on_metrics() const;
+    [[nodiscard]] absl::StatusOr<std::string> choose_cell(const sched::job_spec& spec) const;
+    [[nodiscard]] std::vector<sched::worker_info> workers_of(const std::string& cell) const;
+    void notify_lead(const std::string& job);
+
+    // Routing, on the routing thread.
+    void receive(wire::envelope message);
+    void bounced(const wire::envelope& message);
+    void on_reply(const std::string& from, const wire::call_reply& reply);
+    void on_summary(const std::string& from, const wire::cell_document& summary);
+    void carry_out(std::vector<route::route_action> actions);
+    void send_call(const route::send_call& step);
+    void routing_tick();
+
+    // Reading the table, on the reading thread.
+    void read_table();
+    void take_members(const wire::table_rows& listed);
+    void take_leads(const wire::table_rows& listed);
+    void take_config(const wire::config_delta& delta);
+    void subscribe();
+    void send(const std::string& address, wire::envelope message);
+
+    settings values;
+    std::string incarnation;
+    std::unique_ptr<store::table> table;
+    support::metrics figures;
+    std::atomic<bool> store_reachable = false;
+    std::atomic<bool> stopping = false;
+
+    mutable std::mutex guard;
+    config_view config;
+    std::map<std::string, wire::member_row> members;
+    std::map<std::string, known_lead> leads;
+    std::unordered_map<std::string, std::shared_ptr<std::promise<wire::explain_reply>>> questions;
+
+    std::uint32_t members_version{};
+    std::uint32_t leads_version{};
+    core::instant next_subscription{};
+
+    route::call_router router;
+    std::unordered_map<std::string, std::shared_ptr<answer_promise>> waiting;
+    std::unordered_map<std::string, std::string> agent_by_address;
+
+    std::unique_ptr<entry_operators> operators;
+    std::unique_ptr<net::transport> wires;
+    std::unique_ptr<support::duty> routing;
+    std::unique_ptr<support::duty> reading;
+    std::unique_ptr<net::http_server> server;
+};
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/gang/gang_driver.cpp
@@ -0,0 +1,315 @@
+#include "chicorylift/gang/gang_driver.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace chicorylift::gang
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 7> event_names{
+    "reserved", "refused", "started", "checkpointed", "stopped", "succeeded", "failed"};
+
+} // namespace
+
+std::string_view to_text(part_event event) noexcept
+{
+    return event_names[static_cast<std::size_t>(event)];
+}
+
+std::optional<part_event> part_event_from(std::string_view text) noexcept
+{
+    for (std::size_t index = 0; index < event_names.size(); ++index)
+    {
+        if (event_names[index] == text)
+        {
+            return static_cast<part_event>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+gang_driver::gang_driver(std::vector<sched::task_placement> placement, bool checkpointable,
+                         gang_settings settings, core::instant now)
+    : settings(settings), checkpointable(checkpointable), phase_since(now), repeated_at(now)
+{
+    for (sched::task_placement& placed : placement)
+    {
+        this->actions.emplace_back(ask_reserve{placed.worker, placed.tasks});
+        this->members.push_back({.worker = std::move(placed.worker),
+                                 .tasks = placed.tasks,
+                                 .last = std::nullopt,
+                                 .lost = false,
+                                 .lost_at = {}});
+    }
+}
+
+gang_driver gang_driver::resumed(std::vector<sched::task_placement> placement, bool checkpointable,
+                                 gang_settings settings, core::instant now)
+{
+    gang_driver driver(std::move(placement), checkpointable, settings, now);
+    driver.actions.clear();
+    driver.committed = true;
+    driver.phase = driver_phase::starting;
+    // Reports of the members come first; orders are repeated only to those that are still silent.
+    driver.repeated_at = now;
+    return driver;
+}
+
+void gang_driver::part_reported(const core::worker_id& worker, part_event event, core::instant now)
+{
+    member* part = this->find(worker);
+    if (part == nullptr || this->phase == driver_phase::over || has_ended(*part))
+    {
+        return;
+    }
+    const bool too_late = event == part_event::reserved && this->phase > driver_phase::committing;
+    // A reservation reported again must not hide that the part was already started.
+    if (!too_late && event != part_event::checkpointed)
+    {
+        part->last = event;
+    }
+    if (event == part_event::failed)
+    {
+        this->failing = true;
+        this->culprit = this->culprit.value_or(worker);
+    }
+    if (event == part_event::refused)
+    {
+        this->culprit = this->culprit.value_or(worker);
+    }
+    this->advance(now);
+}
+
+void gang_driver::commit_written(bool applied, core::instant now)
+{
+    if (this->phase == driver_phase::over || this->committed)
+    {
+        return;
+    }
+    this->committed = applied;
+    if (!applied || this->phase == driver_phase::stopping)
+    {
+        this->begin_stopping(now);
+        return;
+    }
+    this->phase = driver_phase::starting;
+    this->phase_since = now;
+    this->repeat_orders(now);
+    this->advance(now);
+}
+
+void gang_driver::worker_lost(const core::worker_id& worker, core::instant now)
+{
+    member* part = this->find(worker);
+    if (part == nullptr || part->lost)
+    {
+        return;
+    }
+    part->lost = true;
+    part->lost_at = now;
+    if (this->phase != driver_phase::committing)
+    {
+        this->begin_stopping(now);
+    }
+}
+
+void gang_driver::stop(core::instant now)
+{
+    if (this->phase == driver_phase::committing)
+    {
+        // Whether the commit takes effect is not known yet; commit_written goes on from here.
+        this->phase = driver_phase::stopping;
+        return;
+    }
+    this->begin_stopping(now);
+}
+
+void gang_driver::tick(core::instant now)
+{
+    if (this->phase == driver_phase::over)
+    {
+        return;
+    }
+    if (now - this->repeated_at >= this->settings.repeat)
+    {
+        this->repeat_orders(now);
+    }
+    this->advance(now);
+}
+
+std::vector<gang_action> gang_driver::take_actions()
+{
+    return std::exchange(this->actions, {});
+}
+
+gang_driver::member* gang_driver::find(const core::worker_id& worker) noexcept
+{
+    const auto found =
+        std::find_if(this->members.begin(), this->members.end(),
+                     [&worker](const member& part) { return part.worker == worker; });
+    return found == this->members.end() ? nullptr : &*found;
+}
+
+bool gang_driver::all_report(part_event event) const noexcept
+{
+    return std::all_of(this->members.begin(), this->members.end(),
+                       [event](const member& part) { return part.last == event; });
+}
+
+bool gang_driver::has_ended(const member& part) noexcept
+{
+    return part.last == part_event::stopped || part.last == part_event::succeeded ||
+           part.last == part_event::failed;
+}
+
+void gang_driver::repeat_orders(core::instant now)
+{
+    this->repeated_at = now;
+    for (const member& part : this->members)
+    {
+        switch (this->phase)
+        {
+        case driver_phase::reserving:
+        case driver_phase::committing:
+            // A reservation expires; it is renewed for as long as the commit takes.
+            this->actions.emplace_back(ask_reserve{part.worker, part.tasks});
+            break;
+        case driver_phase::starting:
+            if (!part.last.has_value() || part.last == part_event::reserved)
+            {
+                this->actions.emplace_back(order_start{part.worker});
+            }
+            break;
+        case driver_phase::stopping:
+            if (!has_ended(part))
+            {
+                this->actions.emplace_back(order_stop{part.worker, this->checkpointable});
+            }
+            break;
+        case driver_phase::running:
+        case driver_phase::over:
+            break;
+        }
+    }
+}
+
+void gang_driver::advance(core::instant now)
+{
+    switch (this->phase)
+    {
+    case driver_phase::reserving:
+        if (this->all_report(part_event::reserved))
+        {
+            this->phase = driver_phase::committing;
+            this->phase_since = now;
+            this->actions.emplace_back(write_commit{});
+        }
+        else if (this->culprit.has_value() ||
+                 now - this->phase_since >= this->settings.reserve_bound)
+        {
+            this->begin_stopping(now);
+        }
+        break;
+    case driver_phase::starting:
+        this->advance_starting(now);
+        break;
+    case driver_phase::running:
+        if (this->all_report(part_event::succeeded))
+        {
+            this->finish(attempt_result::succeeded);
+        }
+        else if (this->failing || std::any_of(this->members.begin(), this->members.end(),
+                                              [](const member& part)
+                                              { return part.last == part_event::stopped; }))
+        {
+            this->begin_stopping(now);
+        }
+        break;
+    case driver_phase::stopping:
+        this->advance_stopping(now);
+        break;
+    case driver_phase::committing:
+    case driver_phase::over:
+        break;
+    }
+}
+
+void gang_driver::advance_starting(core::instant now)
+{
+    const bool all_run = std::all_of(this->members.begin(), this->members.end(),
+                                     [](const member& part)
+                                     {
+                                         return part.last == part_event::started ||
+                                                part.last == part_event::succeeded;
+                                     });
+    const bool one_cannot = std::any_of(this->members.begin(), this->members.end(),
+                                        [](const member& part)
+                                        {
+                                            return part.last == part_event::refused ||
+                                                   part.last == part_event::stopped ||
+                                                   part.last == part_event::failed;
+                                        });
+    if (all_run)
+    {
+        this->phase = driver_phase::running;
+        this->phase_since = now;
+        this->actions.emplace_back(report_result{attempt_result::running, std::nullopt});
+        this->advance(now);
+    }
+    else if (one_cannot || now - this->phase_since >= this->settings.start_bound)
+    {
+        this->begin_stopping(now);
+    }
+}
+
+void gang_driver::advance_stopping(core::instant now)
+{
+    const bool all_ended =
+        std::all_of(this->members.begin(), this->members.end(),
+                    [this, now](const member& part)
+                    {
+                        const bool lapsed =
+                            part.lost && now - part.lost_at >= this->settings.lease_bound;
+                        return has_ended(part) || lapsed;
+                    });
+    if (!all_ended)
+    {
+        return;
+    }
+    if (!this->committed)
+    {
+        this->finish(attempt_result::never_started);
+    }
+    else if (this->all_report(part_event::succeeded))
+    {
+        this->finish(attempt_result::succeeded);
+    }
+    else
+    {
+        this->finish(this->failing ? attempt_result::failed : attempt_result::stopped);
+    }
+}
+
+void gang_driver::begin_stopping(core::instant now)
+{
+    if (this->phase == driver_phase::over)
+    {
+        return;
+    }
+    this->phase = driver_phase::stopping;
+    this->phase_since = now;
+    this->repeat_orders(now);
+    this->advance_stopping(now);
+}
+
+void gang_driver::finish(attempt_result result)
+{
+    this->phase = driver_phase::over;
+    this->actions.emplace_back(report_result{result, this->culprit});
+}
+
+} // namespace chicorylift::gang
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,108 @@
+#include "net/http_client.hpp"
+
+#include "chicorylift/core/error.hpp"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
+#include <istream>
+
+namespace chicorylift::net
+{
+
+namespace
+{
+
+using core::error_kind;
+using core::make_error;
+
+Poco::Timespan to_poco(core::milliseconds duration)
+{
+    constexpr std::int64_t microseconds_per_millisecond = 1000;
+    return {duration.count() * microseconds_per_millisecond};
+}
+
+std::string describe(const client_request& request, const std::string& fault)
+{
+    return request.method + " " + request.address + request.path + ": " + fault;
+}
+
+/// Reads at most one byte more than is allowed, so that excess shows.
+std::string read_bounded(std::istream& stream)
+{
+    constexpr std::size_t chunk_size = 16384;
+    std::string body;
+    std::string chunk(chunk_size, '\0');
+    while (body.size() <= largest_answer && stream.good())
+    {
+        stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size()));
+        body.append(chunk, 0, static_cast<std::size_t>(stream.gcount()));
+    }
+    return body;
+}
+
+absl::StatusOr<client_response> converse(Poco::Net::HTTPClientSession& session,
+                                         const client_request& request)
+{
+    Poco::Net::HTTPRequest message(request.method, request.path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    for (const http_header& header : request.headers)
+    {
+        message.set(header.name, header.value);
+    }
+    message.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+    message.setHost(request.address);
+    std::ostream& out = session.sendRequest(message);
+    out.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
+    out.flush();
+    Poco::Net::HTTPResponse response;
+    std::istream& in = session.receiveResponse(response);
+    client_response answer{static_cast<int>(response.getStatus()), read_bounded(in)};
+    const bool has_length = response.hasContentLength();
+    const bool cut_short =
+        has_length && response.getContentLength64() != static_cast<Poco::Int64>(answer.body.size());
+    if (cut_short || answer.body.size() > largest_answer ||
+        (!has_length && !response.getChunkedTransferEncoding()))
+    {
+        return make_error(error_kind::upstream_failed,
+                          describe(request, "the answer is not whole"));
+    }
+    return answer;
+}
+
+} // namespace
+
+absl::StatusOr<client_response> exchange(const client_request& request)
+{
+    Poco::Net::StreamSocket socket;
+    try
+    {
+        socket.connect(Poco::Net::SocketAddress(request.address),
+                       to_poco(request.connect_patience));
+        socket.setNoDelay(true);
+    }
+    catch (const Poco::Exception& fault)
+    {
+        return make_error(error_kind::no_upstream, describe(request, fault.displayText()));
+    }
+    try
+    {
+        Poco::Net::HTTPClientSession session(socket);
+        session.setTimeout(to_poco(request.answer_patience));
+        return converse(session, request);
+    }
+    catch (const Poco::Exception& fault)
+    {
+        return make_error(error_kind::outcome_unknown, describe(request, fault.displayText()));
+    }
+    catch (const std::exception& fault)
+    {
+        return make_error(error_kind::outcome_unknown, describe(request, fault.what()));
+    }
+}
+
+} // namespace chicorylift::net
--- /dev/null
+++ b/src/net/transport.cpp
@@ -0,0 +1,234 @@
+#include "net/transport.hpp"
+
+#include <zmq.hpp>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+
+namespace chicorylift::net
+{
+
+namespace
+{
+
+// A connection to a new peer is given this long before its messages bounce.
+constexpr core::milliseconds connect_patience{400};
+constexpr core::milliseconds idle_poll{200};
+constexpr core::milliseconds busy_poll{2};
+constexpr core::milliseconds peer_idle = std::chrono::minutes{5};
+constexpr core::milliseconds sweep_interval = std::chrono::seconds{10};
+constexpr int last_words_ms = 200;
+constexpr int first_reconnect_ms = 100;
+constexpr int last_reconnect_ms = 3000;
+constexpr int receive_queue = 20'000;
+constexpr int batch = 256;
+
+struct waiting_message
+{
+    wire::envelope message;
+    core::instant expires;
+};
+
+struct peer
+{
+    zmq::socket_t socket;
+    std::deque<waiting_message> waiting;
+    core::instant used;
+};
+
+void drain_eventfd(int descriptor)
+{
+    std::uint64_t count = 0;
+    static_cast<void>(::read(descriptor, &count, sizeof count));
+}
+
+} // namespace
+
+struct transport::sockets
+{
+    explicit sockets(const transport_settings& settings)
+        : inbound(this->context, zmq::socket_type::router)
+    {
+        this->inbound.set(zmq::sockopt::linger, 0);
+        this->inbound.set(zmq::sockopt::rcvhwm, receive_queue);
+        this->inbound.set(zmq::sockopt::maxmsgsize, largest_message);
+        this->inbound.bind("tcp://" + settings.listen);
+    }
+
+    peer& peer_at(const std::string& address, const transport_settings& settings)
+    {
+        auto found = this->peers.find(address);
+        if (found == this->peers.end())
+        {
+            zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+            socket.set(zmq::sockopt::linger, last_words_ms);
+            // Without a live connection a message must bounce, not wait to arrive late.
+            socket.set(zmq::sockopt::immediate, 1);
+            socket.set(zmq::sockopt::sndhwm, settings.queued_per_peer);
+            socket.set(zmq::sockopt::reconnect_ivl, first_reconnect_ms);
+            socket.set(zmq::sockopt::reconnect_ivl_max, last_reconnect_ms);
+            socket.connect("tcp://" + address);
+            found = this->peers.emplace(address, peer{std::move(socket), {}, {}}).first;
+        }
+        return found->second;
+    }
+
+    zmq::context_t context{1};
+    zmq::socket_t inbound;
+    std::unordered_map<std::string, peer> peers;
+    std::size_t waiting{};
+};
+
+transport::transport(transport_settings settings, receiver received, bouncer bounced)
+    : settings(std::move(settings)), received(std::move(received)), bounced(std::move(bounced)),
+      ring(this->settings.outgoing), wake_fd(::eventfd(0, EFD_NONBLOCK)),
+      open(std::make_unique<sockets>(this->settings)), thread([this] { this->run(); })
+{
+}
+
+transport::~transport()
+{
+    this->stopping = true;
+    const std::uint64_t one = 1;
+    static_cast<void>(::write(this->wake_fd, &one, sizeof one));
+    this->thread.join();
+    ::close(this->wake_fd);
+}
+
+bool transport::send(const std::string& address, wire::envelope message)
+{
+    message.set_from(this->settings.advertised);
+    message.set_incarnation(this->settings.incarnation);
+    if (address.empty() || !this->ring.try_push({address, std::move(message)}))
+    {
+        return false;
+    }
+    const std::uint64_t one = 1;
+    static_cast<void>(::write(this->wake_fd, &one, sizeof one));
+    return true;
+}
+
+transport_counters transport::counters() const
+{
+    return {this->messages_sent, this->messages_received, this->bytes_sent, this->bytes_received,
+            this->malformed};
+}
+
+void transport::run()
+{
+    sockets& all = *this->open;
+
+    const auto try_send = [this](peer& to, const wire::envelope& message)
+    {
+        const std::string bytes = message.SerializeAsString();
+        const auto sent =
+            to.socket.send(zmq::buffer(bytes.data(), bytes.size()), zmq::send_flags::dontwait);
+        if (!sent.has_value())
+        {
+            return false;
+        }
+        ++this->messages_sent;
+        this->bytes_sent += bytes.size();
+        return true;
+    };
+
+    const auto flush = [&](const std::string& address, peer& to, core::instant now)
+    {
+        while (!to.waiting.empty())
+        {
+            waiting_message& first = to.waiting.front();
+            if (!try_send(to, first.message))
+            {
+                if (first.expires > now)
+                {
+                    return;
+                }
+                this->bounced(address, std::move(first.message));
+            }
+            to.waiting.pop_front();
+            --all.waiting;
+        }
+    };
+
+    const auto receive_batch = [&]
+    {
+        for (int count = 0; count < batch; ++count)
+        {
+            zmq::message_t identity;
+            if (!all.inbound.recv(identity, zmq::recv_flags::dontwait).has_value())
+            {
+                return;
+            }
+            zmq::message_t payload;
+            bool has_more = identity.more();
+            while (has_more)
+            {
+                static_cast<void>(all.inbound.recv(payload, zmq::recv_flags::dontwait));
+                has_more = payload.more();
+            }
+            wire::envelope message;
+            if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size())) ||
+                message.body_case() == wire::envelope::BODY_NOT_SET)
+            {
+                ++this->malformed;
+                continue;
+            }
+            ++this->messages_received;
+            this->bytes_received += payload.size();
+            this->received(std::move(message));
+        }
+    };
+
+    const auto accept_outgoing = [&](core::instant now)
+    {
+        while (auto next = this->ring.pop_within(core::milliseconds{0}))
+        {
+            peer& to = all.peer_at(next->address, this->settings);
+            to.used = now;
+            // Order is kept: nothing overtakes what already waits.
+            if (to.waiting.empty() && try_send(to, next->message))
+            {
+                continue;
+            }
+            to.waiting.push_back({std::move(next->message), now + connect_patience});
+            ++all.waiting;
+        }
+    };
+
+    core::instant next_sweep = core::boot_clock::now() + sweep_interval;
+    while (!this->stopping)
+    {
+        std::array<zmq::pollitem_t, 2> items{{
+            {all.inbound.handle(), 0, ZMQ_POLLIN, 0},
+            {nullptr, this->wake_fd, ZMQ_POLLIN, 0},
+        }};
+        zmq::poll(items, all.waiting > 0 ? busy_poll : idle_poll);
+        const core::instant now = core::boot_clock::now();
+        if ((items[1].revents & ZMQ_POLLIN) != 0)
+        {
+            drain_eventfd(this->wake_fd);
+        }
+        receive_batch();
+        accept_outgoing(now);
+        if (all.waiting > 0)
+        {
+            for (auto& [address, to] : all.peers)
+            {
+                flush(address, to, now);
+            }
+        }
+        if (now >= next_sweep)
+        {
+            next_sweep = now + sweep_interval;
+            std::erase_if(all.peers, [now](const auto& entry)
+                          { return entry.second.used + peer_idle < now &&
+                                   entry.second.waiting.empty(); });
+        }
+    }
+}
+
+} // namespace chicorylift::net
--- /dev/null
+++ b/src/route/call_router.cpp
@@ -0,0 +1,439 @@
+#include "chicorylift/route/call_router.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorylift::route
+{
+
+namespace
+{
+
+using core::error_kind;
+using core::work_ran;
+
+// Each call earns this share of a retry, so that retries cannot double an overload.
+constexpr double retry_share = 0.1;
+constexpr double most_retry_tokens = 20.0;
+constexpr std::int64_t most_tries = 4;
+constexpr double other_region_cost = 16.0;
+constexpr double other_zone_cost = 0.5;
+constexpr std::int64_t failures_to_avoid = 3;
+constexpr std::int64_t most_avoid_doublings = 5;
+constexpr core::milliseconds first_avoidance{500};
+constexpr core::milliseconds pause_after_refusal{20};
+constexpr double burst_seconds = 2.0;
+constexpr double milliseconds_per_second = 1000.0;
+constexpr std::int64_t smoothing = 8;
+
+bool refused_before_start(error_kind kind) noexcept
+{
+    return core::answer_for(kind).ran == work_ran::no;
+}
+
+} // namespace
+
+call_router::call_router(router_settings settings)
+    : settings(std::move(settings)), random(this->settings.seed), retry_tokens(most_retry_tokens)
+{
+}
+
+void call_router::upstream_joined(const upstream_info& upstream)
+{
+    const auto [found, added] = this->upstreams.try_emplace(upstream.agent);
+    upstream_state& known = found->second;
+    if (added)
+    {
+        this->by_service[upstream.service].push_back(upstream.agent);
+    }
+    else if (known.info.service != upstream.service)
+    {
+        std::erase(this->by_service[known.info.service], upstream.agent);
+        this->by_service[upstream.service].push_back(upstream.agent);
+    }
+    if (known.info.incarnation != upstream.incarnation)
+    {
+        // A restarted agent has a clean record; calls to the former one keep their own account.
+        known.failures_in_row = 0;
+        known.avoid_until = {};
+    }
+    known.info = upstream;
+}
+
+void call_router::upstream_gone(const core::worker_id& agent)
+{
+    const auto found = this->upstreams.find(agent);
+    if (found == this->upstreams.end())
+    {
+        return;
+    }
+    std::erase(this->by_service[found->second.info.service], agent);
+    this->upstreams.erase(found);
+}
+
+void call_router::apply_terms(const terms::terms_in_force& terms, core::instant now)
+{
+    for (const terms::organisation_terms& owner : terms.organisations)
+    {
+        const auto [found, added] = this->buckets.try_emplace(owner.organisation);
+        organisation_bucket& bucket = found->second;
+        bucket.per_second = static_cast<double>(owner.calls_per_second) /
+                            static_cast<double>(this->settings.entries);
+        if (added)
+        {
+            bucket.tokens = bucket.per_second * burst_seconds;
+            bucket.filled = now;
+        }
+    }
+    for (auto& [organisation, bucket] : this->buckets)
+    {
+        const bool agreed = std::any_of(terms.organisations.begin(), terms.organisations.end(),
+                                        [&](const terms::organisation_terms& owner)
+                                        { return owner.organisation == organisation; });
+        if (!agreed)
+        {
+            bucket.per_second = 0;
+            bucket.tokens = 0;
+        }
+    }
+}
+
+std::vector<route_action> call_router::submit(call_spec spec, core::instant now)
+{
+    std::vector<route_action> actions;
+    this->retry_tokens = std::min(this->retry_tokens + retry_share, most_retry_tokens);
+    const auto [found, added] = this->calls.try_emplace(spec.id);
+    call_state& call = found->second;
+    if (!added)
+    {
+        // The open call keeps its own answer; a second one of the same name is refused.
+        return {finish_call{std::move(spec.id), error_kind::conflict,
+                            "a request with this id is already open", 0, {}}};
+    }
+    call.spec = std::move(spec);
+    const auto bucket = this->buckets.find(call.spec.organisation);
+    if (bucket == this->buckets.end() || !this->take_token(bucket->second, now))
+    {
+        this->fail(call, error_kind::rate_limited,
+                   "organisation \"" + call.spec.organisation.str() + "\" is over its call rate",
+                   actions);
+        return actions;
+    }
+    if (call.spec.deadline <= now)
+    {
+        this->fail(call, error_kind::deadline_passed, "no time was left on arrival", actions);
+        return actions;
+    }
+    // Calls that wait already go first.
+    if (!bucket->second.waiting.empty() || !this->dispatch(call, now, actions))
+    {
+        this->enqueue(call, now, actions);
+    }
+    return actions;
+}
+
+std::vector<route_action> call_router::answered(const attempt_answer& answer, core::instant now)
+{
+    std::vector<route_action> actions;
+    const auto found = this->calls.find(answer.id);
+    if (found == this->calls.end() || !found->second.sent ||
+        found->second.attempt != answer.attempt || found->second.agent != answer.agent)
+    {
+        return actions;
+    }
+    call_state& call = found->second;
+    this->attempt_over(call);
+    if (!answer.error.has_value())
+    {
+        this->note_health(answer.agent, true, now);
+        this->usual_service_time +=
+            (now - call.sent_at - this->usual_service_time) / smoothing;
+        this->finish(call,
+                     {call.spec.id, std::nullopt, answer.message, answer.status, answer.body},
+                     actions);
+    }
+    else if (call.cancelling && refused_before_start(*answer.error))
+    {
+        this->fail(call, error_kind::deadline_passed, "cancelled before it started", actions);
+    }
+    else
+    {
+        this->note_health(answer.agent, refused_before_start(*answer.error), now);
+        this->retry_or_finish(call, *answer.error, answer.message, now, actions);
+    }
+    this->drain_queues(now, actions);
+    return actions;
+}
+
+std::vector<route_action> call_router::unsent(const core::request_id& id, std::int64_t attempt,
+                                              core::instant now)
+{
+    std::vector<route_action> actions;
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end() || !found->second.sent || found->second.attempt != attempt)
+    {
+        return actions;
+    }
+    call_state& call = found->second;
+    this->note_health(call.agent, false, now);
+    this->attempt_over(call);
+    this->retry_or_finish(call, error_kind::no_upstream, "the agent could not be reached", now,
+                          actions);
+    return actions;
+}
+
+std::vector<route_action> call_router::tick(core::instant now)
+{
+    std::vector<route_action> actions;
+    while (!this->due.empty() && this->due.begin()->when <= now)
+    {
+        const core::request_id id = this->due.begin()->id;
+        this->due.erase(this->due.begin());
+        const auto found = this->calls.find(id);
+        if (found != this->calls.end())
+        {
+            this->deadline_reached(found->second, now, actions);
+        }
+    }
+    this->drain_queues(now, actions);
+    return actions;
+}
+
+const upstream_info* call_router::find(const core::worker_id& agent) const noexcept
+{
+    const auto found = this->upstreams.find(agent);
+    return found == this->upstreams.end() ? nullptr : &found->second.info;
+}
+
+const call_spec* call_router::find(const core::request_id& id) const noexcept
+{
+    const auto found = this->calls.find(id);
+    return found == this->calls.end() ? nullptr : &found->second.spec;
+}
+
+double call_router::cost_of(const upstream_state& upstream) const noexcept
+{
+    const bool same_region = upstream.info.region == this->settings.region;
+    const bool same_zone = same_region && upstream.info.zone == this->settings.zone;
+    const double distance = same_zone ? 0.0 : same_region ? other_zone_cost : other_region_cost;
+    return static_cast<double>(upstream.outstanding) + distance;
+}
+
+call_router::upstream_state* call_router::choose(const call_state& call, core::instant now)
+{
+    const auto listed = this->by_service.find(call.spec.service);
+    if (listed == this->by_service.end())
+    {
+        return nullptr;
+    }
+    std::vector<upstream_state*> able;
+    for (const core::worker_id& agent : listed->second)
+    {
+        upstream_state& upstream = this->upstreams.at(agent);
+        if (!upstream.info.leaving && upstream.avoid_until <= now &&
+            upstream.outstanding < upstream.info.slots && agent != call.avoided)
+        {
+            able.push_back(&upstream);
+        }
+    }
+    if (able.empty())
+    {
+        return nullptr;
+    }
+    // The better of two at random spreads the load without all entries choosing the same one.
+    std::uniform_int_distribution<std::size_t> any(0, able.size() - 1);
+    upstream_state* first = able[any(this->random)];
+    upstream_state* second = able[any(this->random)];
+    return this->cost_of(*second) < this->cost_of(*first) ? second : first;
+}
+
+bool call_router::take_token(organisation_bucket& bucket, core::instant now) const
+{
+    const double elapsed =
+        static_cast<double>((now - bucket.filled).count()) / milliseconds_per_second;
+    bucket.filled = now;
+    bucket.tokens = std::min(bucket.tokens + elapsed * bucket.per_second,
+                             std::max(bucket.per_second * burst_seconds, 1.0));
+    if (bucket.per_second <= 0 || bucket.tokens < 1.0)
+    {
+        return false;
+    }
+    bucket.tokens -= 1.0;
+    return true;
+}
+
+bool call_router::dispatch(call_state& call, core::instant now, std::vector<route_action>& actions)
+{
+    upstream_state* upstream = this->choose(call, now);
+    if (upstream == nullptr)
+    {
+        return false;
+    }
+    ++upstream->outstanding;
+    ++call.attempt;
+    ++call.tries;
+    call.agent = upstream->info.agent;
+    call.sent = true;
+    call.sent_at = now;
+    this->set_due(call, call.spec.deadline);
+    actions.emplace_back(send_call{call.spec.id, call.attempt, call.agent});
+    return true;
+}
+
+void call_router::enqueue(call_state& call, core::instant now, std::vector<route_action>& actions)
+{
+    organisation_bucket& bucket = this->buckets[call.spec.organisation];
+    const auto served = this->by_service.find(call.spec.service);
+    if (served == this->by_service.end() || served->second.empty())
+    {
+        this->fail(call, error_kind::no_upstream,
+                   "service \"" + call.spec.service.str() + "\" has no upstream", actions);
+        return;
+    }
+    if (this->queued >= this->settings.longest_queue ||
+        bucket.waiting.size() >= this->settings.longest_organisation_queue)
+    {
+        this->fail(call, error_kind::queue_full,
+                   "organisation \"" + call.spec.organisation.str() + "\" has " +
+                       std::to_string(bucket.waiting.size()) + " calls waiting",
+                   actions);
+        return;
+    }
+    // Work that cannot finish in time would only take a slot from work that can.
+    if (now + this->usual_service_time > call.spec.deadline)
+    {
+        this->fail(call, error_kind::deadline_passed, "the deadline cannot be met", actions);
+        return;
+    }
+    bucket.waiting.push_back(call.spec.id);
+    ++this->queued;
+    this->set_due(call, call.spec.deadline - this->usual_service_time);
+}
+
+void call_router::drain_queues(core::instant now, std::vector<route_action>& actions)
+{
+    // One call of each organisation in turn, beginning after the one served last.
+    std::size_t idle = 0;
+    while (this->queued > 0 && idle < this->buckets.size())
+    {
+        auto next = this->buckets.upper_bound(this->last_served);
+        next = next == this->buckets.end() ? this->buckets.begin() : next;
+        this->last_served = next->first;
+        std::deque<core::request_id>& waiting = next->second.waiting;
+        bool served = false;
+        if (!waiting.empty())
+        {
+            call_state& call = this->calls.at(waiting.front());
+            served = this->dispatch(call, now, actions);
+        }
+        if (served)
+        {
+            waiting.pop_front();
+            --this->queued;
+        }
+        idle = served ? 0 : idle + 1;
+    }
+}
+
+void call_router::retry_or_finish(call_state& call, core::error_kind kind,
+                                  const std::string& message, core::instant now,
+                                  std::vector<route_action>& actions)
+{
+    const bool safe = refused_before_start(kind) || call.spec.idempotent;
+    const bool in_time = now + this->usual_service_time < call.spec.deadline;
+    if (!safe || !in_time || call.cancelling || call.tries >= most_tries ||
+        this->retry_tokens < 1.0)
+    {
+        this->fail(call, kind, message, actions);
+        return;
+    }
+    this->retry_tokens -= 1.0;
+    call.avoided = call.agent;
+    if (!this->dispatch(call, now, actions))
+    {
+        call.avoided = {};
+        this->enqueue(call, now, actions);
+    }
+}
+
+void call_router::finish(call_state& call, finish_call answer, std::vector<route_action>& actions)
+{
+    this->due.erase({call.due, call.spec.id});
+    const core::request_id id = call.spec.id;
+    actions.emplace_back(std::move(answer));
+    this->calls.erase(id);
+}
+
+void call_router::fail(call_state& call, core::error_kind kind, std::string message,
+                       std::vector<route_action>& actions)
+{
+    this->finish(call,
+                 {call.spec.id, kind, std::move(message), core::answer_for(kind).http_status, {}},
+                 actions);
+}
+
+void call_router::set_due(call_state& call, core::instant when)
+{
+    this->due.erase({call.due, call.spec.id});
+    call.due = when;
+    this->due.insert({call.due, call.spec.id});
+}
+
+void call_router::attempt_over(call_state& call)
+{
+    call.sent = false;
+    const auto found = this->upstreams.find(call.agent);
+    if (found != this->upstreams.end() && found->second.outstanding > 0)
+    {
+        --found->second.outstanding;
+    }
+}
+
+void call_router::deadline_reached(call_state& call, core::instant now,
+                                   std::vector<route_action>& actions)
+{
+    if (!call.sent)
+    {
+        organisation_bucket& bucket = this->buckets[call.spec.organisation];
+        this->queued -= std::erase(bucket.waiting, call.spec.id);
+        this->fail(call, error_kind::deadline_passed, "no upstream was free in time", actions);
+        return;
+    }
+    if (!call.cancelling)
+    {
+        call.cancelling = true;
+        this->set_due(call, now + this->settings.cancel_patience);
+        actions.emplace_back(send_cancel{call.spec.id, call.attempt, call.agent});
+        return;
+    }
+    this->note_health(call.agent, false, now);
+    this->attempt_over(call);
+    this->fail(call, error_kind::outcome_unknown,
+               "agent \"" + call.agent.str() + "\" has not said whether it ran", actions);
+}
+
+void call_router::note_health(const core::worker_id& agent, bool healthy, core::instant now)
+{
+    const auto found = this->upstreams.find(agent);
+    if (found == this->upstreams.end())
+    {
+        return;
+    }
+    upstream_state& upstream = found->second;
+    if (healthy)
+    {
+        upstream.failures_in_row = 0;
+        upstream.avoid_until = std::max(upstream.avoid_until, core::instant{});
+        return;
+    }
+    ++upstream.failures_in_row;
+    upstream.avoid_until = std::max(upstream.avoid_until, now + pause_after_refusal);
+    if (upstream.failures_in_row >= failures_to_avoid)
+    {
+        const std::int64_t doublings =
+            std::min(upstream.failures_in_row - failures_to_avoid, most_avoid_doublings);
+        upstream.avoid_until = now + first_avoidance * (std::int64_t{1} << doublings);
+    }
+}
+
+} // namespace chicorylift::route
--- /dev/null
+++ b/src/sched/cell_report.cpp
@@ -0,0 +1,270 @@
+#include "cell_state.hpp"
+
+#include "chicorylift/core/error.hpp"
+
+#include <algorithm>
+
+/// Answers questions about a cell's state and checks what must always hold.
+namespace chicorylift::sched
+{
+
+namespace
+{
+
+absl::Status broken(const std::string& what)
+{
+    return core::make_error(core::error_kind::internal, what);
+}
+
+absl::Status check_worker(const worker_state& worker)
+{
+    core::resources used;
+    core::resources committed;
+    for (const organisation_share& share : worker.shares)
+    {
+        used += share.used;
+        committed += core::at_least(share.firm, share.footprint);
+    }
+    if (used != worker.used || committed != worker.committed)
+    {
+        return broken("accounts of worker \"" + worker.info.id.str() + "\" do not add up");
+    }
+    // A worker that is gone keeps its firm work in the accounts until that work is settled.
+    if (worker.present && !core::fits(committed, worker.info.capacity))
+    {
+        return broken("worker \"" + worker.info.id.str() + "\" has " +
+                      core::to_text(worker.info.capacity) + " but " + core::to_text(committed) +
+                      " cannot be reclaimed");
+    }
+    return absl::OkStatus();
+}
+
+bool adjacent(const cell_state& cell, const footprint& held)
+{
+    const worker_info& first = cell.workers[held.parts.front().worker].info;
+    return std::all_of(held.parts.begin(), held.parts.end(),
+                       [&](const part& placed)
+                       {
+                           const worker_info& other = cell.workers[placed.worker].info;
+                           switch (held.shape.within)
+                           {
+                           case terms::adjacency::worker:
+                               return other.id == first.id;
+                           case terms::adjacency::rack:
+                               return other.rack == first.rack;
+                           case terms::adjacency::zone:
+                               break;
+                           }
+                           return true;
+                       });
+}
+
+absl::Status check_footprint(const cell_state& cell, const organisation_state& owner,
+                             const footprint& held)
+{
+    if (held.parts.empty())
+    {
+        return held.short_since.has_value() || cell.footprints_dirty
+                   ? absl::OkStatus()
+                   : broken("shape \"" + held.shape.name + "\" of organisation \"" +
+                            owner.id.str() + "\" is short and not reported");
+    }
+    std::int64_t tasks = 0;
+    for (const part& placed : held.parts)
+    {
+        tasks += placed.tasks;
+    }
+    if (tasks != held.shape.tasks || !adjacent(cell, held))
+    {
+        return broken("footprint of shape \"" + held.shape.name + "\" of organisation \"" +
+                      owner.id.str() + "\" does not have that shape");
+    }
+    return absl::OkStatus();
+}
+
+template <class Container>
+std::size_t bytes_of(const Container& items)
+{
+    return items.capacity() * sizeof(typename Container::value_type);
+}
+
+} // namespace
+
+double cell_figures::fragmentation() const noexcept
+{
+    if (this->free == 0)
+    {
+        return 0.0;
+    }
+    return 1.0 - static_cast<double>(this->largest_gang) / static_cast<double>(this->free);
+}
+
+std::optional<explanation> cell_scheduler::explain(const core::job_id& id, core::instant now) const
+{
+    const auto found = this->state->jobs.find(id);
+    if (found == this->state->jobs.end())
+    {
+        return std::nullopt;
+    }
+    const job_entry& job = *found->second;
+    const queued_view view = view_of(*this->state, job, now);
+    const bool waits = job.placement.empty();
+    return explanation{.phase = job.phase,
+                       .reason = job.reason,
+                       .placement = placement_of(*this->state, job.placement),
+                       .displaced = job.displaced,
+                       .waited = (waits ? now : job.started) - job.submitted,
+                       .expected_run_time = view.expected};
+}
+
+std::vector<guarantee_shortfall> cell_scheduler::shortfalls() const
+{
+    std::vector<guarantee_shortfall> missing;
+    for (const organisation_state& owner : this->state->organisations)
+    {
+        for (const footprint& held : owner.footprints)
+        {
+            if (held.short_since.has_value())
+            {
+                missing.push_back({owner.id, held.shape.name, *held.short_since});
+            }
+        }
+    }
+    return missing;
+}
+
+cell_figures cell_scheduler::figures() const
+{
+    cell_figures sum;
+    for (const auto& [rack, workers] : this->state->racks)
+    {
+        // A large gang wants whole workers of one rack.
+        std::int64_t whole = 0;
+        std::int64_t largest_piece = 0;
+        for (const worker_index index : workers)
+        {
+            const worker_state& worker = this->state->workers[index];
+            if (!worker.present)
+            {
+                continue;
+            }
+            const std::int64_t free = std::max<std::int64_t>(worker.free().accelerators, 0);
+            sum.capacity += worker.info.capacity.accelerators;
+            sum.used += worker.used.accelerators;
+            sum.free += free;
+            whole += free == worker.info.capacity.accelerators ? free : 0;
+            largest_piece = std::max(largest_piece, free);
+        }
+        sum.largest_gang = std::max({sum.largest_gang, whole, largest_piece});
+    }
+    sum.queued = this->state->queue.size();
+    sum.running = this->state->jobs.size() - sum.queued;
+    return sum;
+}
+
+std::int64_t cell_scheduler::used_by(const core::organisation_id& organisation) const
+{
+    const auto found = this->state->organisation_by_id.find(organisation);
+    return found == this->state->organisation_by_id.end()
+               ? 0
+               : this->state->organisations[found->second].used.accelerators;
+}
+
+std::int64_t cell_scheduler::unused_guarantee(const core::organisation_id& organisation) const
+{
+    const auto found = this->state->organisation_by_id.find(organisation);
+    if (found == this->state->organisation_by_id.end())
+    {
+        return 0;
+    }
+    std::int64_t unused = 0;
+    for (const worker_state& worker : this->state->workers)
+    {
+        const organisation_share own = share_on(worker, found->second);
+        unused += std::max<std::int64_t>(own.footprint.accelerators - own.used.accelerators, 0);
+    }
+    return unused;
+}
+
+std::size_t cell_scheduler::state_bytes() const
+{
+    const cell_state& cell = *this->state;
+    std::size_t bytes = sizeof(cell_state) + bytes_of(cell.workers) + bytes_of(cell.queue) +
+                        bytes_of(cell.all_workers) + bytes_of(cell.organisations);
+    for (const worker_state& worker : cell.workers)
+    {
+        bytes += bytes_of(worker.shares) + bytes_of(worker.jobs);
+    }
+    for (const auto& [id, job] : cell.jobs)
+    {
+        bytes += sizeof(job_entry) + bytes_of(job->placement) + bytes_of(job->displaced) +
+                 2 * id.str().capacity() + job->spec.kind.capacity();
+    }
+    return bytes;
+}
+
+absl::Status cell_scheduler::check_invariants() const
+{
+    for (const worker_state& worker : this->state->workers)
+    {
+        absl::Status checked = check_worker(worker);
+        if (!checked.ok())
+        {
+            return checked;
+        }
+    }
+    for (const organisation_state& owner : this->state->organisations)
+    {
+        for (const footprint& held : owner.footprints)
+        {
+            absl::Status checked = check_footprint(*this->state, owner, held);
+            if (!checked.ok())
+            {
+                return checked;
+            }
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status check_runnable(const job_spec& spec, const terms::terms_in_force& terms,
+                            const std::vector<worker_info>& workers)
+{
+    const auto owner = std::find_if(terms.organisations.begin(), terms.organisations.end(),
+                                    [&spec](const terms::organisation_terms& known)
+                                    { return known.organisation == spec.organisation; });
+    if (owner == terms.organisations.end())
+    {
+        return core::make_error(core::error_kind::not_found, "organisation \"" +
+                                                                 spec.organisation.str() +
+                                                                 "\" does not exist");
+    }
+    if (!core::fits(spec.total(), owner->limit))
+    {
+        return core::make_error(core::error_kind::never_runnable,
+                                "the job needs " + core::to_text(spec.total()) +
+                                    "; the limit of organisation \"" + spec.organisation.str() +
+                                    "\" is " + core::to_text(owner->limit));
+    }
+    std::map<std::string, std::int64_t> fitting;
+    std::int64_t most = 0;
+    for (const worker_info& worker : workers)
+    {
+        const std::string group = spec.within == terms::adjacency::worker ? worker.id.str()
+                                  : spec.within == terms::adjacency::rack ? worker.rack.str()
+                                                                          : std::string();
+        fitting[group] += core::times_fitting(spec.per_task, worker.capacity);
+        most = std::max(most, fitting[group]);
+    }
+    if (most >= spec.tasks)
+    {
+        return absl::OkStatus();
+    }
+    return core::make_error(core::error_kind::never_runnable,
+                            "the job needs " + std::to_string(spec.tasks) + " tasks with " +
+                                core::to_text(spec.per_task) + " each within one " +
+                                std::string(terms::to_text(spec.within)) + "; at most " +
+                                std::to_string(most) + " fit the announced capacity");
+}
+
+} // namespace chicorylift::sched
--- /dev/null
+++ b/src/sched/fitting.cpp
@@ -0,0 +1,225 @@
+#include "cell_state.hpp"
+
+#include <algorithm>
+#include <limits>
+
+/// Finds room for gangs in free capacity, and keeps room for gangs that are blocked.
+namespace chicorylift::sched
+{
+
+namespace
+{
+
+constexpr double late_end_quantile = 0.9;
+
+struct candidate
+{
+    worker_index worker{};
+    std::int64_t fitting{};
+    double key{};
+};
+
+bool takes_tasks(const worker_state& worker, const job_spec& spec) noexcept
+{
+    if (!worker.present || worker.leaving || worker.health == worker_health::quarantined)
+    {
+        return false;
+    }
+    // A probe must be safe to run again and must not cost a gang.
+    return worker.health == worker_health::healthy ||
+           (worker.jobs.empty() && spec.idempotent && spec.tasks == 1);
+}
+
+/// @return room that a job of the organisation may take without entering others' footprints.
+core::resources open_room(const cell_state& cell, const worker_state& worker, const job_entry& job)
+{
+    if (!cell.policy->honours_guarantees || job.spec.reclaimable())
+    {
+        return worker.free();
+    }
+    const organisation_share own = share_on(worker, job.organisation);
+    const core::resources held = core::at_least(own.firm, own.footprint);
+    const core::resources room = worker.info.capacity - worker.committed + held - own.firm;
+    return core::at_most(worker.free(), room);
+}
+
+std::int64_t reserved_for_others(const worker_state& worker, organisation_index organisation)
+{
+    std::int64_t reserved = 0;
+    for (const organisation_share& share : worker.shares)
+    {
+        if (share.organisation != organisation)
+        {
+            const std::int64_t unused = share.footprint.accelerators - share.used.accelerators;
+            reserved += std::max<std::int64_t>(unused, 0);
+        }
+    }
+    return reserved;
+}
+
+bool delays(const reservation& kept, worker_index worker, core::instant end)
+{
+    return kept.workers[worker] && end > kept.start;
+}
+
+/// Takes workers by ascending key until the gang is whole.
+std::vector<part> fill(std::vector<candidate>& group, std::int64_t tasks)
+{
+    std::sort(group.begin(), group.end(),
+              [](const candidate& left, const candidate& right)
+              {
+                  return left.key != right.key ? left.key < right.key : left.worker < right.worker;
+              });
+    std::vector<part> parts;
+    for (const candidate& chosen : group)
+    {
+        const std::int64_t taken = std::min(chosen.fitting, tasks);
+        parts.push_back({chosen.worker, taken});
+        tasks -= taken;
+        if (tasks == 0)
+        {
+            break;
+        }
+    }
+    return parts;
+}
+
+struct release_event
+{
+    core::instant end;
+    worker_index worker{};
+    core::resources amount;
+};
+
+/// @return when the group's workers will have room for the gang, by the expected ends.
+std::optional<core::instant> earliest_start(const cell_state& cell, const job_entry& job,
+                                            const std::vector<worker_index>& group,
+                                            core::instant now)
+{
+    std::vector<release_event> ends;
+    std::unordered_map<worker_index, core::resources> free;
+    std::int64_t fitting = 0;
+    const auto fit = [&](worker_index index)
+    { return std::min(core::times_fitting(job.spec.per_task, free[index]), job.spec.tasks); };
+    for (const worker_index index : group)
+    {
+        const worker_state& worker = cell.workers[index];
+        if (!worker.present || worker.leaving || worker.health != worker_health::healthy)
+        {
+            continue;
+        }
+        free[index] = worker.free();
+        fitting += fit(index);
+        for (const job_entry* running : worker.jobs)
+        {
+            const core::instant end =
+                std::max(now, running->started + expected_run(cell, *running, late_end_quantile));
+            for (const part& placed : running->placement)
+            {
+                if (placed.worker == index)
+                {
+                    ends.push_back({end, index, running->spec.per_task * placed.tasks});
+                }
+            }
+        }
+    }
+    if (fitting >= job.spec.tasks)
+    {
+        return now;
+    }
+    std::sort(ends.begin(), ends.end(),
+              [](const release_event& left, const release_event& right)
+              { return left.end < right.end; });
+    for (const release_event& ended : ends)
+    {
+        fitting -= fit(ended.worker);
+        free[ended.worker] += ended.amount;
+        fitting += fit(ended.worker);
+        if (fitting >= job.spec.tasks)
+        {
+            return ended.end;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<part> find_room(const cell_state& cell, const job_entry& job,
+                            const std::vector<reservation>& reservations, core::instant now,
+                            bool& behind_reservation)
+{
+    const queued_view view = view_of(cell, job, now);
+    const core::instant end =
+        reservations.empty() ? now : now + expected_run(cell, job, late_end_quantile);
+    std::vector<part> best;
+    double best_key = std::numeric_limits<double>::infinity();
+    const auto consider = [&](const std::vector<worker_index>& group)
+    {
+        std::vector<candidate> candidates;
+        std::int64_t fitting = 0;
+        double group_key = 0;
+        for (const worker_index index : group)
+        {
+            const worker_state& worker = cell.workers[index];
+            if (!takes_tasks(worker, job.spec))
+            {
+                continue;
+            }
+            const std::int64_t fit =
+                core::times_fitting(job.spec.per_task, open_room(cell, worker, job));
+            if (fit == 0)
+            {
+                continue;
+            }
+            if (std::any_of(reservations.begin(), reservations.end(),
+                            [&](const reservation& kept) { return delays(kept, index, end); }))
+            {
+                behind_reservation = true;
+                continue;
+            }
+            const double key =
+                cell.policy->worker_key(view, {worker.free(), worker.info.capacity, fit,
+                                               reserved_for_others(worker, job.organisation)});
+            candidates.push_back({index, std::min(fit, job.spec.tasks), key});
+            fitting += fit;
+            group_key += key;
+        }
+        if (fitting >= job.spec.tasks && group_key < best_key)
+        {
+            best_key = group_key;
+            best = fill(candidates, job.spec.tasks);
+        }
+    };
+    for_each_group(cell, job.spec.within, consider);
+    return best;
+}
+
+std::optional<reservation> reserve_room(const cell_state& cell, const job_entry& job,
+                                        core::instant now)
+{
+    std::optional<core::instant> soonest;
+    std::vector<worker_index> chosen;
+    const auto consider = [&](const std::vector<worker_index>& group)
+    {
+        const auto start = earliest_start(cell, job, group, now);
+        if (start.has_value() && (!soonest.has_value() || *start < *soonest))
+        {
+            soonest = start;
+            chosen = group;
+        }
+    };
+    for_each_group(cell, job.spec.within, consider);
+    if (!soonest.has_value())
+    {
+        return std::nullopt;
+    }
+    reservation kept{std::vector<bool>(cell.workers.size(), false), *soonest};
+    for (const worker_index index : chosen)
+    {
+        kept.workers[index] = true;
+    }
+    return kept;
+}
+
+} // namespace chicorylift::sched
--- /dev/null
+++ b/src/sched/job.cpp
@@ -0,0 +1,57 @@
+#include "chicorylift/sched/job.hpp"
+
+#include "chicorylift/core/error.hpp"
+
+#include <array>
+
+namespace chicorylift::sched
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 3> class_names{"urgent", "standard", "batch"};
+constexpr std::array<std::string_view, 5> phase_names{"queued", "waiting_for_reclaim", "starting",
+                                                      "running", "stopping"};
+constexpr std::array<std::string_view, 7> reason_texts{
+    "it does not wait",
+    "jobs before it in the queue have not been settled yet",
+    "its organisation is at the limit of its contract",
+    "no worker, rack or zone has room for the whole gang",
+    "the room is kept for a job that has waited longer",
+    "other work is being stopped to make room",
+    "the capacity that could hold it has been lost",
+};
+
+} // namespace
+
+std::string_view to_text(job_class urgency) noexcept
+{
+    return class_names[static_cast<std::size_t>(urgency)];
+}
+
+absl::StatusOr<job_class> job_class_from(std::string_view text)
+{
+    for (std::size_t index = 0; index < class_names.size(); ++index)
+    {
+        if (class_names[index] == text)
+        {
+            return static_cast<job_class>(index);
+        }
+    }
+    return core::make_error(core::error_kind::invalid_request,
+                            "class \"" + std::string(text) +
+                                "\" does not exist; allowed are urgent, standard, batch");
+}
+
+std::string_view to_text(job_phase phase) noexcept
+{
+    return phase_names[static_cast<std::size_t>(phase)];
+}
+
+std::string_view to_text(wait_reason reason) noexcept
+{
+    return reason_texts[static_cast<std::size_t>(reason)];
+}
+
+} // namespace chicorylift::sched
--- /dev/null
+++ b/src/support/metrics.cpp
@@ -0,0 +1,128 @@
+#include "support/metrics.hpp"
+
+#include <boost/histogram.hpp>
+
+#include <map>
+#include <mutex>
+#include <sstream>
+
+namespace chicorylift::support
+{
+
+namespace
+{
+
+namespace hist = boost::histogram;
+
+// Four bins for each factor of ten, from 1 ms to about 28 hours.
+constexpr unsigned bin_count = 32;
+constexpr double shortest_ms = 1.0;
+constexpr double longest_ms = 1e8;
+constexpr double milliseconds_per_second = 1000.0;
+// Organisations are bounded by configuration, classes and names by the code.
+constexpr std::size_t most_series = 5000;
+
+using axis = hist::axis::regular<double, hist::axis::transform::log>;
+using histogram = decltype(hist::make_histogram(axis(bin_count, shortest_ms, longest_ms)));
+
+struct series_key
+{
+    std::string name;
+    std::string organisation;
+    std::string job_class;
+    friend auto operator<=>(const series_key&, const series_key&) = default;
+};
+
+struct series
+{
+    histogram times = hist::make_histogram(axis(bin_count, shortest_ms, longest_ms));
+    double sum_ms{};
+    std::uint64_t total{};
+};
+
+struct counter_key
+{
+    std::string name;
+    std::string kind;
+    friend auto operator<=>(const counter_key&, const counter_key&) = default;
+};
+
+std::string labels(const series_key& key)
+{
+    return "organisation=\"" + key.organisation + "\",class=\"" + key.job_class + "\"";
+}
+
+void print(std::ostream& out, const series_key& key, const series& one)
+{
+    std::uint64_t below = 0;
+    for (auto&& bin : hist::indexed(one.times, hist::coverage::all))
+    {
+        below += static_cast<std::uint64_t>(*bin);
+        const bool last = bin.index() == static_cast<int>(bin_count);
+        out << "chicorylift_" << key.name << "_seconds_bucket{" << labels(key) << ",le=\"";
+        if (last)
+        {
+            out << "+Inf";
+        }
+        else
+        {
+            out << bin.bin().upper() / milliseconds_per_second;
+        }
+        out << "\"} " << below << '\n';
+    }
+    out << "chicorylift_" << key.name << "_seconds_sum{" << labels(key) << "} "
+        << one.sum_ms / milliseconds_per_second << '\n';
+    out << "chicorylift_" << key.name << "_seconds_count{" << labels(key) << "} " << one.total
+        << '\n';
+}
+
+} // namespace
+
+struct metrics::implementation
+{
+    mutable std::mutex guard;
+    std::map<series_key, series> histograms;
+    std::map<counter_key, std::uint64_t> counters;
+};
+
+metrics::metrics() : inner(std::make_unique<implementation>()) {}
+metrics::~metrics() = default;
+
+void metrics::observe(std::string_view name, const std::string& organisation,
+                      std::string_view job_class, core::milliseconds time)
+{
+    const std::lock_guard lock(this->inner->guard);
+    const series_key key{std::string(name), organisation, std::string(job_class)};
+    if (this->inner->histograms.size() >= most_series && !this->inner->histograms.contains(key))
+    {
+        return;
+    }
+    series& one = this->inner->histograms[key];
+    one.times(static_cast<double>(time.count()));
+    one.sum_ms += static_cast<double>(time.count());
+    ++one.total;
+}
+
+void metrics::count(std::string_view name, std::string_view kind, std::uint64_t amount)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->counters[{std::string(name), std::string(kind)}] += amount;
+}
+
+std::string metrics::to_text() const
+{
+    const std::lock_guard lock(this->inner->guard);
+    std::ostringstream out;
+    for (const auto& [key, one] : this->inner->histograms)
+    {
+        print(out, key, one);
+    }
+    for (const auto& [key, total] : this->inner->counters)
+    {
+        out << "chicorylift_" << key.name << "_total{kind=\"" << key.kind << "\"} " << total
+            << '\n';
+    }
+    return out.str();
+}
+
+} // namespace chicorylift::support
--- /dev/null
+++ b/src/terms/terms.cpp
@@ -0,0 +1,277 @@
+#include "chicorylift/terms/terms.hpp"
+
+#include "chicorylift/core/error.hpp"
+#include "chicorylift/core/registry.hpp"
+#include "chicorylift/sched/placement_policy.hpp"
+
+#include <array>
+#include <utility>
+
+namespace chicorylift::terms
+{
+
+namespace
+{
+
+using core::error_kind;
+using core::make_error;
+
+constexpr std::int64_t whole_percent = 100;
+
+__extension__ using wide = __int128;
+
+constexpr std::array<std::string_view, 3> adjacency_names{"worker", "rack", "zone"};
+
+enum class rounding
+{
+    up,
+    down,
+};
+
+absl::Status in_range(std::string_view what, std::int64_t value, std::int64_t lowest)
+{
+    if (value >= lowest && value <= largest_stated_amount)
+    {
+        return absl::OkStatus();
+    }
+    return make_error(error_kind::invalid_request,
+                      std::string(what) + " is " + std::to_string(value) + "; allowed are " +
+                          std::to_string(lowest) + " to " + std::to_string(largest_stated_amount));
+}
+
+/// Computes amount * units * percent / (per_units * 100) without intermediate overflow.
+std::int64_t scaled(std::int64_t amount, std::int64_t units, std::int64_t percent,
+                    std::int64_t per_units, rounding direction)
+{
+    const wide product = static_cast<wide>(amount) * units * percent;
+    const wide divisor = static_cast<wide>(per_units) * whole_percent;
+    const wide quotient = product / divisor;
+    const bool round_up = direction == rounding::up && product % divisor != 0;
+    const wide result = quotient + (round_up ? 1 : 0);
+    return result > largest_stated_amount ? -1 : static_cast<std::int64_t>(result);
+}
+
+absl::StatusOr<core::resources> converted(const configuration& config, std::string_view unit,
+                                          std::int64_t units, std::int64_t percent,
+                                          rounding direction)
+{
+    const auto found = config.units.find(std::string(unit));
+    if (found == config.units.end())
+    {
+        return make_error(error_kind::invalid_request,
+                          "unit \"" + std::string(unit) + "\" does not exist in the unit table");
+    }
+    const unit_definition& definition = found->second;
+    const auto one = [&](std::int64_t amount)
+    { return scaled(amount, units, percent, definition.per_units, direction); };
+    const core::resources result{one(definition.amount.accelerators), one(definition.amount.cores),
+                                 one(definition.amount.memory_gb)};
+    if (result.accelerators < 0 || result.cores < 0 || result.memory_gb < 0)
+    {
+        return make_error(error_kind::invalid_request,
+                          std::to_string(units) + " of unit \"" + std::string(unit) +
+                              "\" overflow " + std::to_string(largest_stated_amount));
+    }
+    return result;
+}
+
+absl::Status in_contract(const contract& agreed, const absl::Status& fault)
+{
+    return make_error(core::kind_of(fault), "contract of organisation \"" +
+                                                agreed.organisation.str() +
+                                                "\": " + std::string(fault.message()));
+}
+
+absl::Status check_shape(const configuration& config, const guaranteed_shape& shape)
+{
+    absl::Status tasks = in_range("tasks of shape \"" + shape.name + "\"", shape.tasks, 1);
+    if (!tasks.ok())
+    {
+        return tasks;
+    }
+    absl::Status units =
+        in_range("units_per_task of shape \"" + shape.name + "\"", shape.units_per_task, 1);
+    if (!units.ok())
+    {
+        return units;
+    }
+    return guaranteed_resources(config, shape.unit, shape.units_per_task, whole_percent).status();
+}
+
+absl::StatusOr<shape_terms> shape_under(const configuration& config, const guaranteed_shape& shape,
+                                        const preset& chosen)
+{
+    // The share is taken of the number of tasks, so that each task keeps its contracted size.
+    const std::int64_t tasks =
+        scaled(shape.tasks, 1, chosen.guarantee_percent, 1, rounding::up);
+    const auto per_task =
+        guaranteed_resources(config, shape.unit, shape.units_per_task, whole_percent);
+    if (!per_task.ok())
+    {
+        return per_task.status();
+    }
+    return shape_terms{shape.name, tasks, *per_task, shape.within};
+}
+
+absl::StatusOr<organisation_terms> organisation_under(const configuration& config,
+                                                      const contract& agreed, const preset& chosen)
+{
+    organisation_terms result;
+    result.organisation = agreed.organisation;
+    result.calls_per_second = agreed.calls_per_second;
+    for (const guaranteed_shape& shape : agreed.guarantees)
+    {
+        auto exact = shape_under(config, shape, chosen);
+        if (!exact.ok())
+        {
+            return exact.status();
+        }
+        if (exact->tasks > 0)
+        {
+            result.guarantees.push_back(*std::move(exact));
+        }
+    }
+    const auto limit =
+        limit_resources(config, agreed.limit_unit, agreed.limit_units, chosen.limit_percent);
+    if (!limit.ok())
+    {
+        return limit.status();
+    }
+    result.limit = *limit;
+    return result;
+}
+
+} // namespace
+
+std::string_view to_text(adjacency within) noexcept
+{
+    return adjacency_names[static_cast<std::size_t>(within)];
+}
+
+absl::StatusOr<adjacency> adjacency_from(std::string_view text)
+{
+    for (std::size_t index = 0; index < adjacency_names.size(); ++index)
+    {
+        if (adjacency_names[index] == text)
+        {
+            return static_cast<adjacency>(index);
+        }
+    }
+    return make_error(error_kind::invalid_request, "adjacency \"" + std::string(text) +
+                                                       "\" does not exist; allowed are worker, "
+                                                       "rack, zone");
+}
+
+absl::StatusOr<core::resources> guaranteed_resources(const configuration& config,
+                                                     std::string_view unit, std::int64_t units,
+                                                     std::int64_t percent)
+{
+    return converted(config, unit, units, percent, rounding::up);
+}
+
+absl::StatusOr<core::resources> limit_resources(const configuration& config, std::string_view unit,
+                                                std::int64_t units, std::int64_t percent)
+{
+    return converted(config, unit, units, percent, rounding::down);
+}
+
+absl::Status check_unit(const unit_definition& unit)
+{
+    if (unit.unit.empty())
+    {
+        return make_error(error_kind::invalid_request, "unit \"\" has no name");
+    }
+    const std::string prefix = "of unit \"" + unit.unit + "\"";
+    for (const absl::Status& checked :
+         {in_range("per_units " + prefix, unit.per_units, 1),
+          in_range("accelerators " + prefix, unit.amount.accelerators, 0),
+          in_range("cores " + prefix, unit.amount.cores, 0),
+          in_range("memory_gb " + prefix, unit.amount.memory_gb, 0)})
+    {
+        if (!checked.ok())
+        {
+            return checked;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status check_contract(const configuration& config, const contract& agreed)
+{
+    if (agreed.organisation.empty())
+    {
+        return make_error(error_kind::invalid_request, "organisation \"\" has no name");
+    }
+    for (const guaranteed_shape& shape : agreed.guarantees)
+    {
+        const absl::Status checked = check_shape(config, shape);
+        if (!checked.ok())
+        {
+            return in_contract(agreed, checked);
+        }
+    }
+    for (const absl::Status& checked :
+         {in_range("limit_units", agreed.limit_units, 0),
+          in_range("calls_per_second", agreed.calls_per_second, 0),
+          limit_resources(config, agreed.limit_unit, agreed.limit_units, whole_percent).status()})
+    {
+        if (!checked.ok())
+        {
+            return in_contract(agreed, checked);
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status check_preset(const preset& chosen)
+{
+    if (chosen.name.empty())
+    {
+        return make_error(error_kind::invalid_request, "preset \"\" has no name");
+    }
+    const auto& policies = core::registry<sched::placement_policy>::instance();
+    if (policies.find(chosen.weighting) == nullptr)
+    {
+        return make_error(error_kind::invalid_request,
+                          "weighting \"" + chosen.weighting + "\" of preset \"" + chosen.name +
+                              "\" does not exist; allowed are " + policies.names());
+    }
+    constexpr std::int64_t largest_percent = 100;
+    for (const std::int64_t percent : {chosen.guarantee_percent, chosen.limit_percent})
+    {
+        if (percent < 0 || percent > largest_percent)
+        {
+            return make_error(error_kind::invalid_request, "preset \"" + chosen.name +
+                                                               "\" states " +
+                                                               std::to_string(percent) +
+                                                               " percent; allowed are 0 to 100");
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<terms_in_force> terms_under(const configuration& config,
+                                           const std::string& preset_name)
+{
+    const auto chosen = config.presets.find(preset_name);
+    if (chosen == config.presets.end())
+    {
+        return make_error(error_kind::not_found, "preset \"" + preset_name + "\" does not exist");
+    }
+    terms_in_force result;
+    result.version = config.version;
+    result.preset_name = preset_name;
+    result.weighting = chosen->second.weighting;
+    for (const auto& [organisation, agreed] : config.contracts)
+    {
+        auto exact = organisation_under(config, agreed, chosen->second);
+        if (!exact.ok())
+        {
+            return in_contract(agreed, exact.status());
+        }
+        result.organisations.push_back(*std::move(exact));
+    }
+    return result;
+}
+
+} // namespace chicorylift::terms
