--- a/include/chicorylift/admit/part_table.hpp
+++ b/include/chicorylift/admit/part_table.hpp
@@ -6,7 +6,6 @@
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
-
 #include <cstdint>
 #include <map>
 #include <string_view>
@@ -79,8 +78,8 @@
     /// Sets room aside for a part.
     /// @return an error when the room is taken or the attempt has been seen before.
     [[nodiscard]] absl::Status reserve(const part_key& key, std::int64_t tasks,
-                                       const core::resources& per_task,
-                                       core::milliseconds run_time, core::instant now);
+                                       const core::resources& per_task, core::milliseconds run_time,
+                                       core::instant now);
     /// Turns a reservation into a running part, once.
     /// @return true when the worker must start the tasks now, false when they already run.
     [[nodiscard]] absl::StatusOr<bool> start(const part_key& key, core::instant now);
--- a/include/chicorylift/core/bounded_ring.hpp
+++ b/include/chicorylift/core/bounded_ring.hpp
@@ -3,7 +3,6 @@
 #include "chicorylift/core/time.hpp"
 
 #include <boost/circular_buffer.hpp>
-
 #include <condition_variable>
 #include <cstddef>
 #include <mutex>
--- a/include/chicorylift/core/error.hpp
+++ b/include/chicorylift/core/error.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <absl/status/status.h>
-
 #include <cstddef>
 #include <span>
 #include <string_view>
--- a/include/chicorylift/gang/gang_driver.hpp
+++ b/include/chicorylift/gang/gang_driver.hpp
@@ -76,8 +76,7 @@
     std::optional<core::worker_id> culprit;
 };
 
-using gang_action =
-    std::variant<ask_reserve, write_commit, order_start, order_stop, report_result>;
+using gang_action = std::variant<ask_reserve, write_commit, order_start, order_stop, report_result>;
 
 /// Times that bound the steps of a gang's start and stop.
 struct gang_settings
@@ -119,10 +118,7 @@
     /// @return whether the commit has been written.
     [[nodiscard]] bool is_committed() const noexcept { return this->committed; }
     /// @return whether every part runs or has succeeded.
-    [[nodiscard]] bool is_running() const noexcept
-    {
-        return this->phase == driver_phase::running;
-    }
+    [[nodiscard]] bool is_running() const noexcept { return this->phase == driver_phase::running; }
 
 private:
     enum class driver_phase
--- a/include/chicorylift/route/call_router.hpp
+++ b/include/chicorylift/route/call_router.hpp
@@ -58,7 +58,9 @@
 {
     core::request_id id;
     std::int64_t attempt{};
-    core::worker_id agent;
+    std::string address;
+    /// Incarnation that the call was sent to; a later one knows nothing of it.
+    std::string incarnation;
 };
 
 /// Gives the caller its one answer.
@@ -118,8 +120,8 @@
     [[nodiscard]] std::vector<route_action> answered(const attempt_answer& answer,
                                                      core::instant now);
     /// Reports that an attempt never left this process.
-    [[nodiscard]] std::vector<route_action> unsent(const core::request_id& id,
-                                                   std::int64_t attempt, core::instant now);
+    [[nodiscard]] std::vector<route_action> unsent(const core::request_id& id, std::int64_t attempt,
+                                                   core::instant now);
     /// Lets deadlines pass and queued calls move on.
     [[nodiscard]] std::vector<route_action> tick(core::instant now);
 
@@ -147,6 +149,8 @@
         std::int64_t attempt{};
         std::int64_t tries{};
         core::worker_id agent;
+        std::string address;
+        std::string incarnation;
         core::worker_id avoided;
         bool sent = false;
         bool cancelling = false;
--- a/include/chicorylift/sched/cell_scheduler.hpp
+++ b/include/chicorylift/sched/cell_scheduler.hpp
@@ -8,7 +8,6 @@
 #include "chicorylift/terms/terms.hpp"
 
 #include <absl/status/status.h>
-
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -136,7 +135,7 @@
     /// Reports the gang's end; @p culprit is the worker where a task failed, if one did.
     void job_finished(const core::job_id& job, job_end end,
                       const std::optional<core::worker_id>& culprit, core::instant now);
-    /// Reports that no part of a gang told to stop runs any more.
+    /// Reports that no part of a gang runs any more, whether it was told to stop or not.
     void job_stopped(const core::job_id& job, core::instant now);
 
     /// Decides all that can be decided now.
@@ -171,8 +170,7 @@
 
 /// Checks that a job could run on @p workers if they were empty, within its limit.
 /// @return an error that names what the job asks for and what there is.
-[[nodiscard]] absl::Status check_runnable(const job_spec& spec,
-                                          const terms::terms_in_force& terms,
+[[nodiscard]] absl::Status check_runnable(const job_spec& spec, const terms::terms_in_force& terms,
                                           const std::vector<worker_info>& workers);
 
 } // namespace chicorylift::sched
--- a/include/chicorylift/sched/job.hpp
+++ b/include/chicorylift/sched/job.hpp
@@ -6,7 +6,6 @@
 #include "chicorylift/terms/terms.hpp"
 
 #include <absl/status/statusor.h>
-
 #include <cstdint>
 #include <optional>
 #include <string>
--- a/include/chicorylift/terms/terms.hpp
+++ b/include/chicorylift/terms/terms.hpp
@@ -6,7 +6,6 @@
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
-
 #include <cstdint>
 #include <map>
 #include <string>
--- a/src/admit/call_gate.cpp
+++ b/src/admit/call_gate.cpp
@@ -62,8 +62,7 @@
     }
 }
 
-cancel_answer call_gate::cancel(const core::request_id& id, std::int64_t attempt,
-                                core::instant now)
+cancel_answer call_gate::cancel(const core::request_id& id, std::int64_t attempt, core::instant now)
 {
     this->forget_old(now);
     const attempt_key key{id, attempt};
--- a/src/admit/part_table.cpp
+++ b/src/admit/part_table.cpp
@@ -101,9 +101,9 @@
     {
         return false;
     }
-    return core::make_error(core::error_kind::conflict,
-                            name_of(key) + " is " + std::string(to_text(part.phase)) +
-                                " or its reservation has expired");
+    return core::make_error(core::error_kind::conflict, name_of(key) + " is " +
+                                                            std::string(to_text(part.phase)) +
+                                                            " or its reservation has expired");
 }
 
 void part_table::adopt(const part_key& key, std::int64_t tasks, const core::resources& per_task,
@@ -166,8 +166,7 @@
             lapsed.push_back(key);
         }
     }
-    std::erase_if(this->parts,
-                  [now](const auto& entry)
+    std::erase_if(this->parts, [now](const auto& entry)
                   { return is_final(entry.second.phase) && entry.second.until <= now; });
     return lapsed;
 }
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -1,7 +1,6 @@
 #include "chicorylift/core/error.hpp"
 
 #include <absl/strings/cord.h>
-
 #include <array>
 #include <string>
 
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -38,8 +38,8 @@
     std::string text;
     for (const wire::task_placement& placed : list)
     {
-        text += (text.empty() ? "" : ", ") + placed.worker() + " x" +
-                std::to_string(placed.tasks());
+        text +=
+            (text.empty() ? "" : ", ") + placed.worker() + " x" + std::to_string(placed.tasks());
     }
     return text.empty() ? "-" : text;
 }
@@ -66,8 +66,8 @@
         }
         for (const wire::shortfall_status& missing : cell.shortfalls())
         {
-            out << "SHORT: shape " << missing.shape() << " of " << missing.organisation()
-                << " for " << missing.for_ms() << " ms\n";
+            out << "SHORT: shape " << missing.shape() << " of " << missing.organisation() << " for "
+                << missing.for_ms() << " ms\n";
         }
         row(out, {"AGENT", "STATE", "CONFIGURATION"});
         for (const wire::member_status& member : cell.members())
@@ -82,8 +82,7 @@
     wire::config_document config;
     static_cast<void>(wire::from_row(body, config));
     out << "version " << config.head().version() << ", preset in force "
-        << config.head().preset_in_force() << ", changed by " << config.head().changed_by()
-        << '\n';
+        << config.head().preset_in_force() << ", changed by " << config.head().changed_by() << '\n';
     row(out, {"PRESET", "WEIGHTING", "GUARANTEE %", "LIMIT %"});
     for (const wire::preset_document& preset : config.presets())
     {
@@ -93,9 +92,8 @@
     row(out, {"UNIT", "ACCELERATORS", "CORES", "MEMORY GB", "PER UNITS"});
     for (const wire::unit_document& unit : config.units())
     {
-        row(out, {unit.unit(), number(unit.amount().accelerators()),
-                  number(unit.amount().cores()), number(unit.amount().memory_gb()),
-                  number(unit.per_units())});
+        row(out, {unit.unit(), number(unit.amount().accelerators()), number(unit.amount().cores()),
+                  number(unit.amount().memory_gb()), number(unit.per_units())});
     }
     row(out, {"ORGANISATION", "SHAPES", "LIMIT", "CALLS PER SECOND"});
     for (const wire::contract_document& agreed : config.contracts())
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -3,7 +3,6 @@
 #include "net/http_client.hpp"
 
 #include <absl/status/status.h>
-
 #include <ostream>
 #include <string>
 #include <vector>
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,7 +2,6 @@
 #include "ctl/commands.hpp"
 
 #include <CLI/CLI.hpp>
-
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -56,13 +55,14 @@
                            const char* path, ctl::layout shown)
     {
         app.add_subcommand(command, help)
-            ->callback([&wanted, method, path, shown]
-                       { wanted = {method, path, "", {}, shown}; });
+            ->callback(
+                [&wanted, method, path, shown] {
+                    wanted = {method, path, "", {}, shown};
+                });
     };
     plain("status", "shows cells, members, use and what is in force", "GET", "/v1/status",
           ctl::layout::status);
-    plain("config", "shows units, contracts and presets", "GET", "/v1/config",
-          ctl::layout::config);
+    plain("config", "shows units, contracts and presets", "GET", "/v1/config", ctl::layout::config);
     plain("metrics", "shows the entry's histograms and counters", "GET", "/metrics",
           ctl::layout::text);
 
@@ -71,8 +71,10 @@
     {
         CLI::App* added = app.add_subcommand(command, help);
         added->add_option("FILE", file, "JSON document, or - for standard input")->required();
-        added->callback([&wanted, &file, method, path, shown]
-                        { wanted = {method, path, read_document(file), {}, shown}; });
+        added->callback(
+            [&wanted, &file, method, path, shown] {
+                wanted = {method, path, read_document(file), {}, shown};
+            });
     };
     with_file("set-unit", "records an old unit", "PUT", "/v1/config/units", ctl::layout::head);
     with_file("set-contract", "creates an organisation or changes its contract", "PUT",
@@ -85,8 +87,10 @@
     {
         CLI::App* added = app.add_subcommand(command, help);
         added->add_option("NAME", name, "name of what is meant")->required();
-        added->callback([&wanted, &name, method, before, after, shown]
-                        { wanted = {method, before + name + after, "", {}, shown}; });
+        added->callback(
+            [&wanted, &name, method, before, after, shown] {
+                wanted = {method, before + name + after, "", {}, shown};
+            });
     };
     with_name("use-preset", "puts a preset in force", "POST", "/v1/config/presets/", "/use",
               ctl::layout::head);
@@ -108,7 +112,10 @@
     call->callback(
         [&]
         {
-            wanted = {"POST", "/v1/services/" + name + "/call", read_document(file), {},
+            wanted = {"POST",
+                      "/v1/services/" + name + "/call",
+                      read_document(file),
+                      {},
                       ctl::layout::text};
             wanted.headers.push_back({"X-Idempotent", idempotent ? "true" : "false"});
             if (!key.empty())
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -43,8 +43,9 @@
 } // namespace
 
 agent::agent(settings given)
-    : values(std::move(given)), incarnation(support::random_name()), table(open_table(this->values)),
-      random(std::random_device{}()), store_requests(store_threads, store_ring)
+    : values(std::move(given)), incarnation(support::random_name()),
+      table(open_table(this->values)), random(std::random_device{}()),
+      store_requests(store_threads, store_ring)
 {
     this->calls = std::make_unique<agent_calls>(
         this->incarnation, [this](const std::string& address, wire::envelope message)
@@ -67,9 +68,9 @@
         [](const std::string&, const wire::envelope&) {});
     net::server_limits limits;
     limits.threads = 8;
-    this->server = std::make_unique<net::http_server>(
-        this->values.http, limits,
-        [this](const net::server_request& request) { return this->answer(request); });
+    this->server = std::make_unique<net::http_server>(this->values.http, limits,
+                                                      [this](const net::server_request& request)
+                                                      { return this->answer(request); });
     support::log::info(component, "ready",
                        {{"listen", this->values.listen},
                         {"http", this->server->address()},
@@ -110,8 +111,8 @@
     if (open_parts == 0)
     {
         wire::table_commit transaction = store::new_transaction();
-        store::add_removal(transaction,
-                           "member/" + this->values.cell() + "/" + this->values.name, 0);
+        store::add_removal(transaction, "member/" + this->values.cell() + "/" + this->values.name,
+                           0);
         transaction.mutable_writes(0)->set_any_version(true);
         static_cast<void>(store::commit_settled(*this->table, transaction, last_write_patience,
                                                 [] { return false; }));
@@ -144,14 +145,13 @@
     {
         const net::transport_counters seen = this->wires->counters();
         response.content_type = "text/plain";
-        response.body =
-            this->figures.to_text() +
-            "chicorylift_wire_messages_total{kind=\"sent\"} " +
-            std::to_string(seen.messages_sent) +
-            "\nchicorylift_wire_messages_total{kind=\"received\"} " +
-            std::to_string(seen.messages_received) +
-            "\nchicorylift_wire_messages_total{kind=\"malformed\"} " +
-            std::to_string(seen.malformed) + "\n";
+        response.body = this->figures.to_text() +
+                        "chicorylift_wire_messages_total{kind=\"sent\"} " +
+                        std::to_string(seen.messages_sent) +
+                        "\nchicorylift_wire_messages_total{kind=\"received\"} " +
+                        std::to_string(seen.messages_received) +
+                        "\nchicorylift_wire_messages_total{kind=\"malformed\"} " +
+                        std::to_string(seen.malformed) + "\n";
         return response;
     }
     if (request.method == "GET" && (path == "status" || path == "healthz"))
@@ -186,10 +186,9 @@
     if (upstream.slots() == 0 || upstream.slots() > most_slots || upstream.connections() == 0)
     {
         return net::error_response(core::make_error(
-            error_kind::invalid_request, "slots is " + std::to_string(upstream.slots()) +
-                                             " and connections is " +
-                                             std::to_string(upstream.connections()) +
-                                             "; allowed are 1 to 4096"));
+            error_kind::invalid_request,
+            "slots is " + std::to_string(upstream.slots()) + " and connections is " +
+                std::to_string(upstream.connections()) + "; allowed are 1 to 4096"));
     }
     static_cast<void>(this->thread->post([this, upstream] { this->announced(upstream); }));
     net::server_response response;
@@ -201,9 +200,9 @@
 {
     wire::member_status document;
     document.set_agent(this->values.name);
-    document.set_state(this->is_refusing()    ? "leaving"
-                       : this->is_announced   ? "live"
-                                              : "waiting_for_upstream");
+    document.set_state(this->is_refusing()  ? "leaving"
+                       : this->is_announced ? "live"
+                                            : "waiting_for_upstream");
     document.set_config_version(this->config_version);
     return document;
 }
@@ -221,8 +220,8 @@
         this->calls->on_cancel(message.from(), message.cancel());
         return;
     }
-    static_cast<void>(this->thread->post([this, message = std::move(message)]
-                                         { this->on_message(message); }));
+    static_cast<void>(
+        this->thread->post([this, message = std::move(message)] { this->on_message(message); }));
 }
 
 void agent::on_message(const wire::envelope& message)
@@ -304,9 +303,9 @@
     }
     this->config_version = notice.version();
     this->preset = notice.preset();
-    support::log::info(component, "configuration in force",
-                       {{"version", std::to_string(this->config_version)},
-                        {"preset", this->preset}});
+    support::log::info(
+        component, "configuration in force",
+        {{"version", std::to_string(this->config_version)}, {"preset", this->preset}});
     this->send_heartbeat(false);
 }
 
@@ -534,8 +533,7 @@
         [this]
         {
             const auto row = this->table->read("lead/" + this->values.cell());
-            static_cast<void>(
-                this->thread->post([this, row] { this->take_lead_row(row); }));
+            static_cast<void>(this->thread->post([this, row] { this->take_lead_row(row); }));
         });
 }
 
@@ -622,12 +620,8 @@
                      .figures = this->figures,
                      .send = [this](const std::string& address, wire::envelope message)
                      { this->send(address, std::move(message)); },
-                     .superseded =
-                         [this]
-                     {
-                         static_cast<void>(
-                             this->thread->post([this] { this->retire_lead(); }));
-                     }},
+                     .superseded = [this]
+                     { static_cast<void>(this->thread->post([this] { this->retire_lead(); })); }},
         epoch, row_version);
 }
 
--- a/src/daemon/agent_parts.cpp
+++ b/src/daemon/agent_parts.cpp
@@ -37,8 +37,8 @@
 
 std::optional<part_phase> phase_from(const std::string& state)
 {
-    for (const part_phase phase : {part_phase::running, part_phase::stopped,
-                                   part_phase::succeeded, part_phase::failed})
+    for (const part_phase phase :
+         {part_phase::running, part_phase::stopped, part_phase::succeeded, part_phase::failed})
     {
         if (admit::to_text(phase) == state)
         {
@@ -318,8 +318,7 @@
             wire::worker_task task;
             static_cast<void>(wire::from_row(answer->body, task));
             const part_phase final = phase_from(task.state()).value_or(part_phase::stopped);
-            static_cast<void>(
-                this->post([this, key, final] { this->end_part(key, final, ""); }));
+            static_cast<void>(this->post([this, key, final] { this->end_part(key, final, ""); }));
         }));
 }
 
--- a/src/daemon/cell_lead.cpp
+++ b/src/daemon/cell_lead.cpp
@@ -55,8 +55,8 @@
 
 void cell_lead::deliver(wire::envelope message)
 {
-    static_cast<void>(this->thread.post([this, message = std::move(message)]
-                                        { this->on_message(message); }));
+    static_cast<void>(
+        this->thread.post([this, message = std::move(message)] { this->on_message(message); }));
 }
 
 void cell_lead::load()
@@ -88,9 +88,9 @@
                     this->take_config(to_delta(*config_rows, 0));
                     this->take_jobs(*job_rows);
                     this->loaded = true;
+                    this->last_active = core::boot_clock::now();
                     this->fresh_config_at = core::boot_clock::now();
-                    this->fence_until =
-                        core::boot_clock::now() + this->context.values.heartbeat;
+                    this->fence_until = core::boot_clock::now() + this->context.values.heartbeat;
                     for (auto& [id, known] : this->members)
                     {
                         this->send_fence(known);
@@ -239,8 +239,8 @@
     }
     job.placement = wire::to_kernel(job.row.placement());
     this->scheduler.restore(*spec, job.placement, now);
-    job.driver = std::make_unique<gang::gang_driver>(gang::gang_driver::resumed(
-        job.placement, spec->checkpointable, this->gang_times(), now));
+    job.driver = std::make_unique<gang::gang_driver>(
+        gang::gang_driver::resumed(job.placement, spec->checkpointable, this->gang_times(), now));
     for (const sched::task_placement& placed : job.placement)
     {
         const auto known = this->members.find(placed.worker);
@@ -263,12 +263,73 @@
     this->run_driver(job.row.id());
 }
 
+bool cell_lead::check_suspension()
+{
+    const core::instant now = core::boot_clock::now();
+    const core::milliseconds gap = now - std::exchange(this->last_active, now);
+    if (this->loaded && this->confirmed && gap > this->context.values.suspect_after / 2)
+    {
+        support::log::warn(component, "suspended; the epoch is looked up before anything is done",
+                           {{"gap_ms", std::to_string(gap.count())}});
+        this->confirmed = false;
+        this->next_confirmation = now;
+    }
+    if (!this->confirmed && !this->confirming && now >= this->next_confirmation)
+    {
+        this->confirm_epoch();
+    }
+    return this->confirmed;
+}
+
+void cell_lead::confirm_epoch()
+{
+    this->next_confirmation = core::boot_clock::now() + load_retry;
+    this->confirming = this->store_requests.post(
+        [this]
+        {
+            const auto lead = this->context.table.read(this->lead_key);
+            static_cast<void>(this->thread.post(
+                [this, lead]
+                {
+                    this->confirming = false;
+                    if (lead.ok() && lead->version() != this->lead_row_version)
+                    {
+                        this->step_down("the cell's row names another lead");
+                    }
+                    else if (lead.ok())
+                    {
+                        this->resume_after_confirmation();
+                    }
+                }));
+        });
+}
+
+void cell_lead::resume_after_confirmation()
+{
+    this->confirmed = true;
+    const core::instant now = core::boot_clock::now();
+    this->last_active = now;
+    for (auto& [id, known] : this->members)
+    {
+        // Their heartbeats may still wait to be read.
+        known.heard = std::max(known.heard, now);
+    }
+}
+
 void cell_lead::on_message(const wire::envelope& message)
 {
     if (this->over)
     {
         return;
     }
+    if (!this->check_suspension())
+    {
+        if (message.has_beat() && message.beat().epoch() > this->my_epoch)
+        {
+            this->step_down("a member follows epoch " + std::to_string(message.beat().epoch()));
+        }
+        return;
+    }
     switch (message.body_case())
     {
     case wire::envelope::kBeat:
@@ -326,9 +387,9 @@
         known.row = beat.member();
     }
     known.row.set_address(from);
-    const bool comes_back = is_new || known.phase == member_phase::lost || restarted ||
-                            (known.phase == member_phase::leaving && !known.row.leaving() &&
-                             beat.whole());
+    const bool comes_back =
+        is_new || known.phase == member_phase::lost || restarted ||
+        (known.phase == member_phase::leaving && !known.row.leaving() && beat.whole());
     known.heard = now;
     known.config_version = beat.config_version();
     known.verify_parts = known.verify_parts || restarted;
@@ -403,8 +464,8 @@
                          found->second.row.attempt() == part.attempt();
     if (current)
     {
-        const auto event = gang::part_event_from(part.state() == "running" ? "started"
-                                                                           : part.state());
+        const auto event =
+            gang::part_event_from(part.state() == "running" ? "started" : part.state());
         if (event.has_value())
         {
             found->second.driver->part_reported(worker, *event, core::boot_clock::now());
@@ -436,10 +497,9 @@
     }
     if (*event == gang::part_event::refused || *event == gang::part_event::failed)
     {
-        support::log::info(component, "part " + report.state(),
-                           {{"job", report.job()},
-                            {"agent", report.agent()},
-                            {"reason", report.detail()}});
+        support::log::info(
+            component, "part " + report.state(),
+            {{"job", report.job()}, {"agent", report.agent()}, {"reason", report.detail()}});
     }
     found->second.driver->part_reported(core::worker_id(report.agent()), *event,
                                         core::boot_clock::now());
@@ -489,7 +549,7 @@
 
 void cell_lead::tick()
 {
-    if (this->over || !this->loaded)
+    if (this->over || !this->loaded || !this->check_suspension())
     {
         return;
     }
@@ -536,17 +596,17 @@
 {
     for (auto& [id, known] : this->members)
     {
-        const core::milliseconds patience = this->context.values.suspect_after *
-                                            (known.returning ? returning_patience : 1);
+        const core::milliseconds patience =
+            this->context.values.suspect_after * (known.returning ? returning_patience : 1);
         if (known.phase == member_phase::lost || now - known.heard < patience)
         {
             continue;
         }
         known.phase = member_phase::lost;
         known.reported_whole = true;
-        support::log::warn(component, "worker lost",
-                           {{"agent", id.str()},
-                            {"silent_ms", std::to_string((now - known.heard).count())}});
+        support::log::warn(
+            component, "worker lost",
+            {{"agent", id.str()}, {"silent_ms", std::to_string((now - known.heard).count())}});
         this->context.figures.count("workers_lost", this->cell);
         this->scheduler.worker_lost(id);
         for (auto& [job_id, job] : this->jobs)
@@ -634,10 +694,9 @@
     {
         return;
     }
-    support::log::warn(component, "stepping down",
-                       {{"cell", this->cell},
-                        {"epoch", std::to_string(this->my_epoch)},
-                        {"reason", why}});
+    support::log::warn(
+        component, "stepping down",
+        {{"cell", this->cell}, {"epoch", std::to_string(this->my_epoch)}, {"reason", why}});
     this->context.superseded();
 }
 
--- a/src/daemon/cell_lead.hpp
+++ b/src/daemon/cell_lead.hpp
@@ -111,6 +111,10 @@
 
     // Deciding and carrying out.
     void tick();
+    /// @return whether this lead may act; after a suspension it first makes sure of its epoch.
+    bool check_suspension();
+    void confirm_epoch();
+    void resume_after_confirmation();
     void check_members(core::instant now);
     void decide();
     void carry_out(const sched::decision& step);
@@ -151,6 +155,10 @@
     bool fencing = true;
     bool refreshing_jobs = false;
     bool refreshing_config = false;
+    bool confirmed = true;
+    bool confirming = false;
+    core::instant last_active{};
+    core::instant next_confirmation{};
     std::atomic<bool> over = false;
     core::instant fence_until{};
     core::instant next_jobs_refresh{};
--- a/src/daemon/cell_lead_jobs.cpp
+++ b/src/daemon/cell_lead_jobs.cpp
@@ -1,6 +1,5 @@
-#include "daemon/cell_lead.hpp"
-
 #include "chicorylift/core/error.hpp"
+#include "daemon/cell_lead.hpp"
 #include "support/log.hpp"
 #include "wire/convert.hpp"
 #include "wire/json.hpp"
@@ -64,9 +63,9 @@
     job.placement = step.placement;
     job.row.set_attempt(job.row.attempt() + 1);
     job.row.set_epoch(this->my_epoch);
-    job.driver = std::make_unique<gang::gang_driver>(step.placement,
-                                                     job.row.request().checkpointable(),
-                                                     this->gang_times(), core::boot_clock::now());
+    job.driver =
+        std::make_unique<gang::gang_driver>(step.placement, job.row.request().checkpointable(),
+                                            this->gang_times(), core::boot_clock::now());
     this->run_driver(job.row.id());
 }
 
@@ -140,9 +139,9 @@
 
 void cell_lead::commit_gang(driven_job& job)
 {
+    job.row.set_state("committed");
+    wire::set_placement(job.placement, *job.row.mutable_placement());
     wire::job_row row = job.row;
-    row.set_state("committed");
-    wire::set_placement(job.placement, *row.mutable_placement());
     const std::string id = job.row.id();
     const std::uint32_t attempt = job.row.attempt();
     this->write_job({.job = id,
@@ -153,8 +152,7 @@
                          if (found != this->jobs.end() && found->second.driver != nullptr &&
                              found->second.row.attempt() == attempt)
                          {
-                             found->second.driver->commit_written(applied,
-                                                                  core::boot_clock::now());
+                             found->second.driver->commit_written(applied, core::boot_clock::now());
                              this->run_driver(id);
                          }
                      }});
@@ -225,8 +223,7 @@
     job.driver.reset();
     const std::string id = job.row.id();
     this->context.figures.count("jobs_ended", state);
-    support::log::info(component, "job ended",
-                       {{"job", id}, {"state", state}, {"detail", detail}});
+    support::log::info(component, "job ended", {{"job", id}, {"state", state}, {"detail", detail}});
     this->write_job({.job = id,
                      .row = job.row,
                      .then = [this, id](bool applied)
--- a/src/daemon/config_view.hpp
+++ b/src/daemon/config_view.hpp
@@ -4,7 +4,6 @@
 #include "wire/wire.pb.h"
 
 #include <absl/status/statusor.h>
-
 #include <map>
 #include <string>
 #include <string_view>
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -8,6 +8,7 @@
 #include "wire/json.hpp"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 /// The entry's part that runs on its own threads: routing, reading the table, messages.
@@ -21,7 +22,7 @@
 constexpr std::size_t routing_ring = 16384;
 constexpr core::milliseconds routing_interval{10};
 constexpr core::milliseconds reading_interval{50};
-constexpr core::milliseconds subscription_interval{2000};
+constexpr std::int64_t polls_per_subscription = 2;
 // Calls may run this much longer than their caller waits, while a cancellation settles.
 constexpr core::milliseconds patience_margin{200};
 
@@ -81,9 +82,9 @@
                                                     [this] { this->read_table(); });
     net::server_limits limits;
     limits.threads = 256;
-    this->server = std::make_unique<net::http_server>(
-        this->values.http, limits,
-        [this](const net::server_request& request) { return this->answer(request); });
+    this->server = std::make_unique<net::http_server>(this->values.http, limits,
+                                                      [this](const net::server_request& request)
+                                                      { return this->answer(request); });
     support::log::info(component, "ready",
                        {{"listen", this->values.listen}, {"http", this->server->address()}});
 }
@@ -100,6 +101,8 @@
 {
     support::log::info(component, "stopping");
     this->stopping = true;
+    // The platform's balancer sees the health answer change before connections are refused.
+    std::this_thread::sleep_for(this->values.notice);
     this->server->drain(this->values.drain_limit);
     support::log::info(component, "stopped");
 }
@@ -203,16 +206,11 @@
         }
         else if (const auto* cancel = std::get_if<route::send_cancel>(&action))
         {
-            const route::upstream_info* upstream = this->router.find(cancel->agent);
-            if (upstream == nullptr)
-            {
-                continue;
-            }
             wire::envelope message;
             message.mutable_cancel()->set_request(cancel->id.str());
             message.mutable_cancel()->set_attempt(static_cast<std::uint32_t>(cancel->attempt));
-            message.mutable_cancel()->set_target_incarnation(upstream->incarnation);
-            this->send(upstream->address, std::move(message));
+            message.mutable_cancel()->set_target_incarnation(cancel->incarnation);
+            this->send(cancel->address, std::move(message));
         }
         else if (auto* finished = std::get_if<route::finish_call>(&action))
         {
@@ -290,7 +288,8 @@
     }
     if (core::boot_clock::now() >= this->next_subscription)
     {
-        this->next_subscription = core::boot_clock::now() + subscription_interval;
+        this->next_subscription =
+            core::boot_clock::now() + this->values.config_poll * polls_per_subscription;
         this->subscribe();
     }
 }
@@ -314,14 +313,11 @@
                 this->members[name] = found;
             }
         }
-        const route::upstream_info upstream{core::worker_id(name),
-                                            found.address(),
-                                            found.incarnation(),
-                                            core::service_id(found.service()),
-                                            found.zone(),
-                                            found.region(),
-                                            found.slots(),
-                                            found.leaving()};
+        const route::upstream_info upstream{
+            core::worker_id(name), found.address(),
+            found.incarnation(),   core::service_id(found.service()),
+            found.zone(),          found.region(),
+            found.slots(),         found.leaving()};
         static_cast<void>(this->routing->post(
             [this, gone, upstream]
             {
@@ -385,8 +381,7 @@
     if (terms.ok())
     {
         static_cast<void>(this->routing->post(
-            [this, terms = *terms]
-            { this->router.apply_terms(terms, core::boot_clock::now()); }));
+            [this, terms = *terms] { this->router.apply_terms(terms, core::boot_clock::now()); }));
     }
 }
 
--- a/src/daemon/entry_http.cpp
+++ b/src/daemon/entry_http.cpp
@@ -1,6 +1,5 @@
-#include "daemon/entry.hpp"
-
 #include "chicorylift/core/error.hpp"
+#include "daemon/entry.hpp"
 #include "support/log.hpp"
 #include "support/random_name.hpp"
 #include "wire/convert.hpp"
@@ -54,9 +53,9 @@
     if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() || count < 1 ||
         count > longest_timeout_ms)
     {
-        return make_error(error_kind::invalid_request,
-                          "header X-Timeout-Ms is \"" + text + "\"; allowed are 1 to " +
-                              std::to_string(longest_timeout_ms));
+        return make_error(error_kind::invalid_request, "header X-Timeout-Ms is \"" + text +
+                                                           "\"; allowed are 1 to " +
+                                                           std::to_string(longest_timeout_ms));
     }
     return core::milliseconds{count};
 }
@@ -114,9 +113,9 @@
     {
         net::server_response response;
         response.body = "{}";
-        return this->stopping ? net::error_response(
-                                    make_error(error_kind::stopping, "the entry is stopping"))
-                              : response;
+        return this->stopping
+                   ? net::error_response(make_error(error_kind::stopping, "the entry is stopping"))
+                   : response;
     }
     if (request.path.size() == 1 && request.path[0] == "metrics")
     {
@@ -254,9 +253,8 @@
     route::finish_call finished = future.get();
     const core::milliseconds took = core::boot_clock::now() - begun;
     this->figures.observe("call", who.organisation, request.path[2], took);
-    this->figures.count("calls", finished.error.has_value()
-                                     ? core::answer_for(*finished.error).name
-                                     : "answered");
+    this->figures.count("calls", finished.error.has_value() ? core::answer_for(*finished.error).name
+                                                            : "answered");
     if (finished.error.has_value())
     {
         return net::error_response(make_error(*finished.error, finished.message), id);
@@ -279,8 +277,8 @@
     claim.set_state("claimed");
     wire::table_commit transaction = store::new_transaction();
     store::add_write(transaction, row_key, 0, wire::to_row(claim));
-    const store::commit_result claimed = store::commit_settled(
-        *this->table, transaction, write_patience, [] { return false; });
+    const store::commit_result claimed =
+        store::commit_settled(*this->table, transaction, write_patience, [] { return false; });
     if (claimed.outcome == store::commit_outcome::conflict)
     {
         wire::claim_row other;
@@ -289,11 +287,11 @@
         {
             return replayed(other);
         }
-        return net::error_response(
-            make_error(error_kind::outcome_unknown,
-                       "key \"" + key + "\" is claimed by request " + other.request() +
-                           ", which runs or whose outcome is not known"),
-            other.request());
+        return net::error_response(make_error(error_kind::outcome_unknown,
+                                              "key \"" + key + "\" is claimed by request " +
+                                                  other.request() +
+                                                  ", which runs or whose outcome is not known"),
+                                   other.request());
     }
     if (claimed.outcome != store::commit_outcome::applied)
     {
@@ -361,8 +359,8 @@
         store::add_write(transaction, "jobkey/" + who.organisation + "/" + wanted.key(), 0,
                          row.id());
     }
-    const store::commit_result result = store::commit_settled(
-        *this->table, transaction, write_patience, [] { return false; });
+    const store::commit_result result =
+        store::commit_settled(*this->table, transaction, write_patience, [] { return false; });
     if (result.outcome == store::commit_outcome::conflict)
     {
         // The key was used before: the caller gets the job that it stands for.
@@ -426,8 +424,7 @@
                                                                      id + "\" does not exist"));
 }
 
-net::server_response entry::on_cancel(const caller&, const wire::table_row& row,
-                                      wire::job_row job)
+net::server_response entry::on_cancel(const caller&, const wire::table_row& row, wire::job_row job)
 {
     constexpr int most_races = 5;
     wire::table_row present = row;
@@ -441,8 +438,8 @@
         job.set_cancel_requested(true);
         wire::table_commit transaction = store::new_transaction();
         store::add_write(transaction, present.key(), present.version(), wire::to_row(job));
-        const store::commit_result result = store::commit_settled(
-            *this->table, transaction, write_patience, [] { return false; });
+        const store::commit_result result =
+            store::commit_settled(*this->table, transaction, write_patience, [] { return false; });
         if (result.outcome == store::commit_outcome::applied)
         {
             this->notify_lead(job.id());
@@ -483,22 +480,23 @@
     message.mutable_explain()->set_question(question);
     message.mutable_explain()->set_job(job);
     this->send(address, std::move(message));
-    const bool answered = !address.empty() &&
-                          future.wait_for(explain_patience) == std::future_status::ready;
+    const bool answered =
+        !address.empty() && future.wait_for(explain_patience) == std::future_status::ready;
     if (!answered)
     {
         const std::lock_guard lock(this->guard);
         this->questions.erase(question);
-        return net::error_response(make_error(error_kind::no_upstream,
-                                              "the lead of cell \"" + cell_of_job(job) +
-                                                  "\" does not answer"));
+        return net::error_response(
+            make_error(error_kind::no_upstream,
+                       "the lead of cell \"" + cell_of_job(job) + "\" does not answer"));
     }
     const wire::explain_reply reply = future.get();
     if (!reply.known())
     {
         return net::error_response(
-            make_error(error_kind::not_found, "job \"" + job + "\" has ended or is not known yet "
-                                                               "to its lead"));
+            make_error(error_kind::not_found, "job \"" + job +
+                                                  "\" has ended or is not known yet "
+                                                  "to its lead"));
     }
     return json_response(reply.explanation());
 }
@@ -515,9 +513,9 @@
     }
     if (address.empty() || (!drain && request.path[3] != "undrain"))
     {
-        return net::error_response(make_error(
-            error_kind::not_found, "agent \"" + name + "\" or the order \"" + request.path[3] +
-                                       "\" does not exist"));
+        return net::error_response(
+            make_error(error_kind::not_found, "agent \"" + name + "\" or the order \"" +
+                                                  request.path[3] + "\" does not exist"));
     }
     wire::envelope message;
     message.mutable_leaving()->set_agent(name);
@@ -570,16 +568,15 @@
         for (auto& [cell, free] : free_by_cell)
         {
             const auto lead = this->leads.find(cell);
-            free = lead == this->leads.end() ? 0
-                                             : lead->second.summary.free() -
-                                                   static_cast<std::int64_t>(
-                                                       lead->second.summary.queued());
+            free = lead == this->leads.end()
+                       ? 0
+                       : lead->second.summary.free() -
+                             static_cast<std::int64_t>(lead->second.summary.queued());
         }
     }
     if (!terms.ok())
     {
-        return make_error(error_kind::store_unavailable,
-                          std::string(terms.status().message()));
+        return make_error(error_kind::store_unavailable, std::string(terms.status().message()));
     }
     absl::Status why = make_error(error_kind::no_upstream, "no worker has announced itself yet");
     std::string best;
--- a/src/daemon/entry_operators.cpp
+++ b/src/daemon/entry_operators.cpp
@@ -254,8 +254,8 @@
     {
         store::add_write(transaction, wanted.key, present.row_version(wanted.key), wanted.value);
     }
-    const store::commit_result result = store::commit_settled(
-        this->table, transaction, write_patience, [] { return false; });
+    const store::commit_result result =
+        store::commit_settled(this->table, transaction, write_patience, [] { return false; });
     switch (result.outcome)
     {
     case store::commit_outcome::applied:
@@ -264,10 +264,10 @@
     {
         wire::config_head winner;
         static_cast<void>(wire::from_row(result.conflicting.value(), winner));
-        return make_error(error_kind::conflict,
-                          "version " + std::to_string(winner.version()) + " by \"" +
-                              winner.changed_by() + "\" came first; preset \"" +
-                              winner.preset_in_force() + "\" is in force");
+        return make_error(error_kind::conflict, "version " + std::to_string(winner.version()) +
+                                                    " by \"" + winner.changed_by() +
+                                                    "\" came first; preset \"" +
+                                                    winner.preset_in_force() + "\" is in force");
     }
     case store::commit_outcome::unavailable:
         return make_error(error_kind::store_unavailable, result.message);
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -7,7 +7,6 @@
 
 #include <CLI/CLI.hpp>
 #include <Poco/Net/SocketAddress.h>
-
 #include <iostream>
 
 namespace chicorylift::daemon
@@ -98,8 +97,8 @@
               const std::string& variable, const std::string& help)
 {
     app.add_option_function<std::int64_t>(
-           "--" + name,
-           [&value](const std::int64_t& count) { value = core::milliseconds{count}; }, help)
+           "--" + name, [&value](const std::int64_t& count) { value = core::milliseconds{count}; },
+           help)
         ->envname(variable)
         ->default_str(std::to_string(value.count()));
 }
@@ -149,6 +148,8 @@
              "interval at which an entry reads the table");
     add_time(app, "drain-ms", values.drain_limit, "CHICORYLIFT_DRAIN_MS",
              "longest wait for open requests at a planned stop");
+    add_time(app, "notice-ms", values.notice, "CHICORYLIFT_NOTICE_MS",
+             "time in which a stopping entry still accepts connections, for the balancer to see");
     add_time(app, "stale-ms", values.stale_after, "CHICORYLIFT_STALE_MS",
              "silence after which a lead takes its configuration as stale");
     app.add_flag("--check-settings", values.check_only, "check the settings and exit");
@@ -188,7 +189,8 @@
          check_time("suspect-ms", values.suspect_after),
          check_time("gang-lease-ms", values.gang_lease),
          check_time("config-poll-ms", values.config_poll),
-         check_time("drain-ms", values.drain_limit), check_time("stale-ms", values.stale_after)});
+         check_time("drain-ms", values.drain_limit), check_time("notice-ms", values.notice),
+         check_time("stale-ms", values.stale_after)});
     if (!checked.ok())
     {
         return checked;
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -4,7 +4,6 @@
 #include "chicorylift/core/time.hpp"
 
 #include <absl/status/statusor.h>
-
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -42,6 +41,7 @@
     core::milliseconds gang_lease{15000};
     core::milliseconds config_poll{1000};
     core::milliseconds drain_limit{30000};
+    core::milliseconds notice{2000};
     core::milliseconds stale_after{30000};
     bool check_only = false;
 
--- a/src/gang/gang_driver.cpp
+++ b/src/gang/gang_driver.cpp
@@ -222,9 +222,9 @@
         {
             this->finish(attempt_result::succeeded);
         }
-        else if (this->failing || std::any_of(this->members.begin(), this->members.end(),
-                                              [](const member& part)
-                                              { return part.last == part_event::stopped; }))
+        else if (this->failing ||
+                 std::any_of(this->members.begin(), this->members.end(),
+                             [](const member& part) { return part.last == part_event::stopped; }))
         {
             this->begin_stopping(now);
         }
@@ -241,8 +241,7 @@
 void gang_driver::advance_starting(core::instant now)
 {
     const bool all_run = std::all_of(this->members.begin(), this->members.end(),
-                                     [](const member& part)
-                                     {
+                                     [](const member& part) {
                                          return part.last == part_event::started ||
                                                 part.last == part_event::succeeded;
                                      });
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -8,7 +8,6 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
-
 #include <istream>
 
 namespace chicorylift::net
@@ -48,8 +47,7 @@
 absl::StatusOr<client_response> converse(Poco::Net::HTTPClientSession& session,
                                          const client_request& request)
 {
-    Poco::Net::HTTPRequest message(request.method, request.path,
-                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    Poco::Net::HTTPRequest message(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
     for (const http_header& header : request.headers)
     {
         message.set(header.name, header.value);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,7 +3,6 @@
 #include "chicorylift/core/time.hpp"
 
 #include <absl/status/statusor.h>
-
 #include <string>
 #include <vector>
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,7 +13,6 @@
 #include <Poco/String.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
-
 #include <atomic>
 #include <istream>
 #include <ostream>
@@ -39,8 +38,8 @@
         body.append(chunk, 0, static_cast<std::size_t>(stream.gcount()));
         if (body.size() > largest)
         {
-            return make_error(error_kind::too_large, "the body exceeds " +
-                                                         std::to_string(largest) + " bytes");
+            return make_error(error_kind::too_large,
+                              "the body exceeds " + std::to_string(largest) + " bytes");
         }
     }
     if (from.hasContentLength() &&
@@ -215,7 +214,12 @@
     constexpr core::milliseconds pause{10};
     this->inner->server.stop();
     const core::instant limit = core::boot_clock::now() + patience;
-    while (*this->inner->open > 0 && core::boot_clock::now() < limit)
+    const auto busy = [this]
+    {
+        // A connection may wait for a thread before its request is seen.
+        return *this->inner->open > 0 || this->inner->server.queuedConnections() > 0;
+    };
+    while (busy() && core::boot_clock::now() < limit)
     {
         std::this_thread::sleep_for(pause);
     }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -4,7 +4,6 @@
 #include "net/http_client.hpp"
 
 #include <absl/status/status.h>
-
 #include <functional>
 #include <memory>
 #include <string>
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -1,13 +1,11 @@
 #include "net/transport.hpp"
 
-#include <zmq.hpp>
-
-#include <sys/eventfd.h>
-#include <unistd.h>
-
 #include <array>
 #include <deque>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <unordered_map>
+#include <zmq.hpp>
 
 namespace chicorylift::net
 {
@@ -224,9 +222,9 @@
         if (now >= next_sweep)
         {
             next_sweep = now + sweep_interval;
-            std::erase_if(all.peers, [now](const auto& entry)
-                          { return entry.second.used + peer_idle < now &&
-                                   entry.second.waiting.empty(); });
+            std::erase_if(
+                all.peers, [now](const auto& entry)
+                { return entry.second.used + peer_idle < now && entry.second.waiting.empty(); });
         }
     }
 }
--- a/src/route/call_router.cpp
+++ b/src/route/call_router.cpp
@@ -107,8 +107,11 @@
     if (!added)
     {
         // The open call keeps its own answer; a second one of the same name is refused.
-        return {finish_call{std::move(spec.id), error_kind::conflict,
-                            "a request with this id is already open", 0, {}}};
+        return {finish_call{std::move(spec.id),
+                            error_kind::conflict,
+                            "a request with this id is already open",
+                            0,
+                            {}}};
     }
     call.spec = std::move(spec);
     const auto bucket = this->buckets.find(call.spec.organisation);
@@ -146,10 +149,8 @@
     if (!answer.error.has_value())
     {
         this->note_health(answer.agent, true, now);
-        this->usual_service_time +=
-            (now - call.sent_at - this->usual_service_time) / smoothing;
-        this->finish(call,
-                     {call.spec.id, std::nullopt, answer.message, answer.status, answer.body},
+        this->usual_service_time += (now - call.sent_at - this->usual_service_time) / smoothing;
+        this->finish(call, {call.spec.id, std::nullopt, answer.message, answer.status, answer.body},
                      actions);
     }
     else if (call.cancelling && refused_before_start(*answer.error))
@@ -273,6 +274,8 @@
     ++call.attempt;
     ++call.tries;
     call.agent = upstream->info.agent;
+    call.address = upstream->info.address;
+    call.incarnation = upstream->info.incarnation;
     call.sent = true;
     call.sent_at = now;
     this->set_due(call, call.spec.deadline);
@@ -403,7 +406,8 @@
     {
         call.cancelling = true;
         this->set_due(call, now + this->settings.cancel_patience);
-        actions.emplace_back(send_cancel{call.spec.id, call.attempt, call.agent});
+        actions.emplace_back(
+            send_cancel{call.spec.id, call.attempt, call.address, call.incarnation});
         return;
     }
     this->note_health(call.agent, false, now);
--- a/src/sched/cell_report.cpp
+++ b/src/sched/cell_report.cpp
@@ -1,5 +1,4 @@
 #include "cell_state.hpp"
-
 #include "chicorylift/core/error.hpp"
 
 #include <algorithm>
@@ -235,9 +234,8 @@
                                     { return known.organisation == spec.organisation; });
     if (owner == terms.organisations.end())
     {
-        return core::make_error(core::error_kind::not_found, "organisation \"" +
-                                                                 spec.organisation.str() +
-                                                                 "\" does not exist");
+        return core::make_error(core::error_kind::not_found,
+                                "organisation \"" + spec.organisation.str() + "\" does not exist");
     }
     if (!core::fits(spec.total(), owner->limit))
     {
--- a/src/sched/cell_scheduler.cpp
+++ b/src/sched/cell_scheduler.cpp
@@ -149,8 +149,8 @@
 
 tried_shape shape_tried_by(const job_entry& job)
 {
-    return {job.organisation,  job.spec.per_task,      job.spec.tasks,
-            job.spec.within,   job.spec.reclaimable(), job.spec.urgency == job_class::urgent};
+    return {job.organisation, job.spec.per_task,      job.spec.tasks,
+            job.spec.within,  job.spec.reclaimable(), job.spec.urgency == job_class::urgent};
 }
 
 struct ordered_job
@@ -186,8 +186,8 @@
                                      : left.job->spec.id < right.job->spec.id;
     };
     const std::size_t kept = std::min(order.size(), jobs_tried_per_pass);
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept),
-                      order.end(), before);
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept), order.end(),
+                      before);
     order.resize(kept);
     return order;
 }
@@ -275,8 +275,7 @@
         {
             return true;
         }
-        job.reason =
-            behind_reservation ? wait_reason::behind_reservation : wait_reason::no_room;
+        job.reason = behind_reservation ? wait_reason::behind_reservation : wait_reason::no_room;
         if (!behind_reservation)
         {
             this->failed.push_back(shape);
@@ -331,8 +330,8 @@
 void cell_scheduler::worker_joined(const worker_info& worker)
 {
     cell_state& cell = *this->state;
-    const auto [found, added] = cell.worker_by_id.try_emplace(
-        worker.id, static_cast<worker_index>(cell.workers.size()));
+    const auto [found, added] =
+        cell.worker_by_id.try_emplace(worker.id, static_cast<worker_index>(cell.workers.size()));
     if (added)
     {
         cell.workers.emplace_back();
@@ -380,8 +379,7 @@
     }
 }
 
-void cell_scheduler::apply_terms(const terms::terms_in_force& terms,
-                                 const placement_policy& policy)
+void cell_scheduler::apply_terms(const terms::terms_in_force& terms, const placement_policy& policy)
 {
     cell_state& cell = *this->state;
     cell.policy = &policy;
@@ -398,8 +396,7 @@
     }
     for (const terms::organisation_terms& owner : terms.organisations)
     {
-        organisation_state& known =
-            cell.organisations[organisation_of(cell, owner.organisation)];
+        organisation_state& known = cell.organisations[organisation_of(cell, owner.organisation)];
         known.limit = owner.limit;
         for (const terms::shape_terms& shape : owner.guarantees)
         {
@@ -529,8 +526,7 @@
 }
 
 void cell_scheduler::job_finished(const core::job_id& id, job_end end,
-                                  const std::optional<core::worker_id>& culprit,
-                                  core::instant now)
+                                  const std::optional<core::worker_id>& culprit, core::instant now)
 {
     cell_state& cell = *this->state;
     job_entry* job = find_job(cell, id);
@@ -572,10 +568,15 @@
 {
     cell_state& cell = *this->state;
     job_entry* job = find_job(cell, id);
-    if (job == nullptr || job->phase != job_phase::stopping)
+    if (job == nullptr || job->phase == job_phase::queued)
     {
         return;
     }
+    if (job->phase != job_phase::stopping)
+    {
+        // Its agents stopped it alone, as after a lapsed lease.
+        job->stopping_for = stop_reason::worker_lost;
+    }
     if (!job->placement.empty())
     {
         release(cell, *job);
--- a/src/sched/cell_state.cpp
+++ b/src/sched/cell_state.cpp
@@ -11,11 +11,8 @@
         id, static_cast<organisation_index>(cell.organisations.size()));
     if (added)
     {
-        cell.organisations.push_back({.id = id,
-                                      .limit = std::nullopt,
-                                      .used = {},
-                                      .guaranteed = {},
-                                      .footprints = {}});
+        cell.organisations.push_back(
+            {.id = id, .limit = std::nullopt, .used = {}, .guaranteed = {}, .footprints = {}});
     }
     return found->second;
 }
@@ -29,7 +26,8 @@
             return share;
         }
     }
-    worker.shares.push_back({.organisation = organisation, .footprint = {}, .firm = {}, .used = {}});
+    worker.shares.push_back(
+        {.organisation = organisation, .footprint = {}, .firm = {}, .used = {}});
     return worker.shares.back();
 }
 
--- a/src/sched/cell_state.hpp
+++ b/src/sched/cell_state.hpp
@@ -61,10 +61,7 @@
     std::vector<organisation_share> shares;
     std::vector<job_entry*> jobs;
 
-    [[nodiscard]] core::resources free() const noexcept
-    {
-        return this->info.capacity - this->used;
-    }
+    [[nodiscard]] core::resources free() const noexcept { return this->info.capacity - this->used; }
 };
 
 /// Guaranteed shape and where it is set aside.
--- a/src/sched/fitting.cpp
+++ b/src/sched/fitting.cpp
@@ -66,8 +66,7 @@
 std::vector<part> fill(std::vector<candidate>& group, std::int64_t tasks)
 {
     std::sort(group.begin(), group.end(),
-              [](const candidate& left, const candidate& right)
-              {
+              [](const candidate& left, const candidate& right) {
                   return left.key != right.key ? left.key < right.key : left.worker < right.worker;
               });
     std::vector<part> parts;
--- a/src/sched/footprints.cpp
+++ b/src/sched/footprints.cpp
@@ -1,5 +1,4 @@
 #include "cell_state.hpp"
-
 #include "chicorylift/core/error.hpp"
 
 #include <algorithm>
@@ -92,13 +91,13 @@
 
 bool still_valid(const cell_state& cell, const footprint& held)
 {
-    return !held.parts.empty() &&
-           std::all_of(held.parts.begin(), held.parts.end(),
-                       [&cell](const part& placed)
-                       {
-                           const worker_state& worker = cell.workers[placed.worker];
-                           return worker.present && !worker.leaving;
-                       });
+    return !held.parts.empty() && std::all_of(held.parts.begin(), held.parts.end(),
+                                              [&cell](const part& placed)
+                                              {
+                                                  const worker_state& worker =
+                                                      cell.workers[placed.worker];
+                                                  return worker.present && !worker.leaving;
+                                              });
 }
 
 /// @return the shapes that need a footprint; those hardest to place come first.
@@ -181,8 +180,7 @@
     }
 }
 
-std::string missing_text(const core::organisation_id& organisation,
-                         const terms::shape_terms& shape)
+std::string missing_text(const core::organisation_id& organisation, const terms::shape_terms& shape)
 {
     return "organisation \"" + organisation.str() + "\": shape \"" + shape.name + "\" of " +
            std::to_string(shape.tasks) + " tasks with " + core::to_text(shape.per_task) +
--- a/src/sched/policies.cpp
+++ b/src/sched/policies.cpp
@@ -33,9 +33,9 @@
 {
     constexpr double bonus_per_accelerator_ms = 600'000.0;
     const auto size = static_cast<double>(job.spec.total().accelerators);
-    const double bonus =
-        job.spec.total().accelerators >= large_gang_accelerators ? size * bonus_per_accelerator_ms
-                                                                 : 0.0;
+    const double bonus = job.spec.total().accelerators >= large_gang_accelerators
+                             ? size * bonus_per_accelerator_ms
+                             : 0.0;
     return shortest_expected_first(job) - bonus;
 }
 
--- a/src/sched/reclaim.cpp
+++ b/src/sched/reclaim.cpp
@@ -17,8 +17,7 @@
 double lost_work(const job_entry& job, core::instant now)
 {
     const core::milliseconds ran = now - std::max(job.started, job.saved);
-    const core::milliseconds lost =
-        job.spec.checkpointable ? std::min(ran, checkpoint_cost) : ran;
+    const core::milliseconds lost = job.spec.checkpointable ? std::min(ran, checkpoint_cost) : ran;
     const std::int64_t size = std::max<std::int64_t>(job.spec.total().accelerators, 1);
     return static_cast<double>(lost.count()) * static_cast<double>(size);
 }
@@ -96,8 +95,8 @@
                   return left_lost != right_lost ? left_lost < right_lost
                                                  : left->spec.id < right->spec.id;
               });
-    claim.fitting = std::min(job.spec.tasks,
-                             core::times_fitting(job.spec.per_task, claim.entitled));
+    claim.fitting =
+        std::min(job.spec.tasks, core::times_fitting(job.spec.per_task, claim.entitled));
     return claim;
 }
 
--- a/src/store/table.cpp
+++ b/src/store/table.cpp
@@ -93,8 +93,7 @@
             result.outcome = commit_outcome::unknown;
             return result;
         }
-        if (result.outcome == commit_outcome::applied ||
-            result.outcome == commit_outcome::conflict)
+        if (result.outcome == commit_outcome::applied || result.outcome == commit_outcome::conflict)
         {
             return result;
         }
@@ -141,8 +140,7 @@
     write->set_check_only(true);
 }
 
-void add_removal(wire::table_commit& transaction, const std::string& key,
-                 std::uint32_t if_version)
+void add_removal(wire::table_commit& transaction, const std::string& key, std::uint32_t if_version)
 {
     wire::table_write* write = transaction.add_writes();
     write->set_key(key);
--- a/src/store/table.hpp
+++ b/src/store/table.hpp
@@ -4,7 +4,6 @@
 #include "wire/wire.pb.h"
 
 #include <absl/status/statusor.h>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -82,7 +81,6 @@
 /// Adds a condition on a row that is not written.
 void add_check(wire::table_commit& transaction, const std::string& key, std::uint32_t if_version);
 /// Adds a conditional removal.
-void add_removal(wire::table_commit& transaction, const std::string& key,
-                 std::uint32_t if_version);
+void add_removal(wire::table_commit& transaction, const std::string& key, std::uint32_t if_version);
 
 } // namespace chicorylift::store
--- a/src/support/duty.cpp
+++ b/src/support/duty.cpp
@@ -44,8 +44,7 @@
     for (;;)
     {
         const core::milliseconds left = next_tick - core::boot_clock::now();
-        std::optional<task> work =
-            this->ring.pop_within(std::max(left, core::milliseconds{0}));
+        std::optional<task> work = this->ring.pop_within(std::max(left, core::milliseconds{0}));
         if (work.has_value())
         {
             (*work)();
--- a/src/support/log.cpp
+++ b/src/support/log.cpp
@@ -5,14 +5,12 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Stringifier.h>
 #include <Poco/Timestamp.h>
-
+#include <array>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
-
-#include <array>
 #include <iostream>
 #include <sstream>
 
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -1,7 +1,6 @@
 #include "support/metrics.hpp"
 
 #include <boost/histogram.hpp>
-
 #include <map>
 #include <mutex>
 #include <sstream>
--- a/src/support/metrics.hpp
+++ b/src/support/metrics.hpp
@@ -20,8 +20,8 @@
     metrics& operator=(const metrics&) = delete;
 
     /// Adds a time to the histogram @p name of an organisation and class.
-    void observe(std::string_view name, const std::string& organisation,
-                 std::string_view job_class, core::milliseconds time);
+    void observe(std::string_view name, const std::string& organisation, std::string_view job_class,
+                 core::milliseconds time);
     /// Adds to a counter; @p kind tells counters of one name apart.
     void count(std::string_view name, std::string_view kind, std::uint64_t amount = 1);
 
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -68,9 +68,9 @@
                                  one(definition.amount.memory_gb)};
     if (result.accelerators < 0 || result.cores < 0 || result.memory_gb < 0)
     {
-        return make_error(error_kind::invalid_request,
-                          std::to_string(units) + " of unit \"" + std::string(unit) +
-                              "\" overflow " + std::to_string(largest_stated_amount));
+        return make_error(error_kind::invalid_request, std::to_string(units) + " of unit \"" +
+                                                           std::string(unit) + "\" overflow " +
+                                                           std::to_string(largest_stated_amount));
     }
     return result;
 }
@@ -102,8 +102,7 @@
                                         const preset& chosen)
 {
     // The share is taken of the number of tasks, so that each task keeps its contracted size.
-    const std::int64_t tasks =
-        scaled(shape.tasks, 1, chosen.guarantee_percent, 1, rounding::up);
+    const std::int64_t tasks = scaled(shape.tasks, 1, chosen.guarantee_percent, 1, rounding::up);
     const auto per_task =
         guaranteed_resources(config, shape.unit, shape.units_per_task, whole_percent);
     if (!per_task.ok())
@@ -241,10 +240,9 @@
     {
         if (percent < 0 || percent > largest_percent)
         {
-            return make_error(error_kind::invalid_request, "preset \"" + chosen.name +
-                                                               "\" states " +
-                                                               std::to_string(percent) +
-                                                               " percent; allowed are 0 to 100");
+            return make_error(error_kind::invalid_request,
+                              "preset \"" + chosen.name + "\" states " + std::to_string(percent) +
+                                  " percent; allowed are 0 to 100");
         }
     }
     return absl::OkStatus();
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -6,7 +6,6 @@
 #include "wire/wire.pb.h"
 
 #include <absl/status/statusor.h>
-
 #include <string>
 #include <vector>
 
@@ -40,7 +39,6 @@
 [[nodiscard]] absl::StatusOr<terms::contract> to_kernel(const contract_document& document);
 [[nodiscard]] terms::preset to_kernel(const preset_document& document);
 [[nodiscard]] sched::worker_info to_worker(const member_row& member);
-[[nodiscard]] explain_document to_wire(const std::string& job,
-                                       const sched::explanation& explained);
+[[nodiscard]] explain_document to_wire(const std::string& job, const sched::explanation& explained);
 
 } // namespace chicorylift::wire
--- a/src/wire/json.hpp
+++ b/src/wire/json.hpp
@@ -2,7 +2,6 @@
 
 #include <absl/status/status.h>
 #include <google/protobuf/message.h>
-
 #include <string>
 #include <string_view>
 
--- /dev/null
+++ b/tests/decisions_test.cpp
@@ -0,0 +1,258 @@
+#include "chicorylift/core/error.hpp"
+#include "chicorylift/core/registry.hpp"
+#include "chicorylift/sched/cell_scheduler.hpp"
+#include "support/golden.hpp"
+#include "support/session.hpp"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <set>
+
+/// Decision sessions in virtual time, and generated sessions that check what must always hold.
+namespace
+{
+
+using namespace chicorylift;
+using testing::compare_golden;
+using testing::play_session;
+
+TEST_CASE("decision sessions agree with their golden files")
+{
+    for (const auto& file : std::filesystem::directory_iterator(CHICORYLIFT_SESSIONS))
+    {
+        std::ifstream stream(file.path());
+        const std::string script{std::istreambuf_iterator<char>(stream), {}};
+        const std::string transcript = play_session(script);
+        CAPTURE(file.path().stem().string());
+        CHECK(transcript.find("BROKEN") == std::string::npos);
+        CHECK(compare_golden("decision-" + file.path().stem().string(), transcript) == "");
+    }
+}
+
+/// Drives a scheduler with random events and answers its decisions like a truthful cell.
+class random_cell
+{
+public:
+    random_cell(std::uint32_t seed, const std::string& policy)
+        : random(seed), chosen(*core::registry<sched::placement_policy>::instance().find(policy)),
+          scheduler(this->chosen)
+    {
+        for (int index = 0; index < worker_count; ++index)
+        {
+            this->join(index);
+        }
+        this->terms.weighting = policy;
+        const core::resources press{4, 4, 4};
+        const core::resources large{8, 8, 8};
+        this->terms.organisations = {{core::organisation_id("press"),
+                                      {{"proof", 3, press, terms::adjacency::rack},
+                                       {"large", 2, large, terms::adjacency::zone}},
+                                      {1000, 1000, 1000},
+                                      0},
+                                     {core::organisation_id("tags"),
+                                      {{"night", 1, large, terms::adjacency::worker}},
+                                      {1000, 1000, 1000},
+                                      0},
+                                     {core::organisation_id("guest"), {}, {1000, 1000, 1000}, 0}};
+        this->scheduler.apply_terms(this->terms, this->chosen);
+    }
+
+    /// Plays one random event. @return "" or what is broken.
+    std::string step()
+    {
+        this->now += core::milliseconds{this->pick(20'000)};
+        switch (this->pick(10))
+        {
+        case 0:
+            this->scheduler.worker_lost(this->worker(this->pick(worker_count)));
+            break;
+        case 1:
+            this->join(this->pick(worker_count));
+            break;
+        case 2:
+            this->with_any(this->placed, [this](const core::job_id& id) { this->end(id); });
+            break;
+        case 3:
+            this->with_any(this->known,
+                           [this](const core::job_id& id) { this->scheduler.cancel(id); });
+            break;
+        case 4:
+            this->with_any(this->stopping, [this](const core::job_id& id) { this->stop(id); });
+            break;
+        default:
+            this->submit();
+        }
+        return this->settle();
+    }
+
+    /// Lets everything that is stopping end, brings all workers back, and asks for each
+    /// guaranteed shape of an organisation that uses nothing.
+    std::string reclaim_everything()
+    {
+        for (int index = 0; index < worker_count; ++index)
+        {
+            this->join(index);
+        }
+        for (int round = 0; round < 50; ++round)
+        {
+            const std::set<core::job_id> now_stopping = this->stopping;
+            for (const core::job_id& id : now_stopping)
+            {
+                this->stop(id);
+            }
+            const std::string broken = this->settle();
+            if (!broken.empty())
+            {
+                return broken;
+            }
+        }
+        for (const terms::organisation_terms& owner : this->terms.organisations)
+        {
+            const bool idle = this->scheduler.used_by(owner.organisation) == 0;
+            const bool all_placed = this->scheduler.shortfalls().empty();
+            for (const terms::shape_terms& shape : owner.guarantees)
+            {
+                const std::string missing =
+                    idle && all_placed ? this->reclaim(owner.organisation, shape) : "";
+                if (!missing.empty())
+                {
+                    return missing;
+                }
+            }
+        }
+        return "";
+    }
+
+private:
+    static constexpr int worker_count = 9;
+
+    int pick(int below) { return std::uniform_int_distribution<int>(0, below - 1)(this->random); }
+
+    static core::worker_id worker(int index)
+    {
+        return core::worker_id("w" + std::to_string(index));
+    }
+
+    void join(int index)
+    {
+        this->scheduler.worker_joined(
+            {worker(index), core::rack_id("r" + std::to_string(index / 3)), {8, 32, 128}});
+    }
+
+    template <class Action>
+    void with_any(const std::set<core::job_id>& from, Action action)
+    {
+        if (!from.empty())
+        {
+            auto chosen_job = from.begin();
+            std::advance(chosen_job, this->pick(static_cast<int>(from.size())));
+            action(core::job_id(*chosen_job));
+        }
+    }
+
+    void submit()
+    {
+        static const std::vector<std::string> owners{"press", "tags", "guest"};
+        sched::job_spec spec;
+        spec.id = core::job_id("j" + std::to_string(++this->submitted));
+        spec.organisation = core::organisation_id(owners[static_cast<std::size_t>(this->pick(3))]);
+        spec.kind = "k" + std::to_string(this->pick(3));
+        spec.urgency = static_cast<sched::job_class>(this->pick(3));
+        spec.tasks = 1 + this->pick(4);
+        const std::int64_t each = 1 + this->pick(8);
+        spec.per_task = {each, each, each};
+        spec.within = static_cast<terms::adjacency>(this->pick(3));
+        spec.idempotent = this->pick(2) == 0;
+        spec.checkpointable = this->pick(2) == 0;
+        spec.declared_run_time = core::milliseconds{1000 + this->pick(600'000)};
+        this->known.insert(spec.id);
+        this->scheduler.submit(spec, this->now);
+    }
+
+    void end(const core::job_id& id)
+    {
+        this->placed.erase(id);
+        this->scheduler.job_finished(id, sched::job_end::succeeded, std::nullopt, this->now);
+    }
+
+    void stop(const core::job_id& id)
+    {
+        this->stopping.erase(id);
+        this->scheduler.job_stopped(id, this->now);
+    }
+
+    std::string settle()
+    {
+        for (const sched::decision& step : this->scheduler.decide(this->now))
+        {
+            if (step.kind == sched::decision_kind::start)
+            {
+                this->placed.insert(step.job);
+                this->scheduler.job_started(step.job, this->now);
+            }
+            else if (step.kind == sched::decision_kind::stop)
+            {
+                this->placed.erase(step.job);
+                this->stopping.insert(step.job);
+            }
+        }
+        const absl::Status held = this->scheduler.check_invariants();
+        return held.ok() ? "" : std::string(held.message());
+    }
+
+    std::string reclaim(const core::organisation_id& owner, const terms::shape_terms& shape)
+    {
+        sched::job_spec spec;
+        spec.id = core::job_id("claim-" + owner.str() + "-" + shape.name);
+        spec.organisation = owner;
+        spec.kind = "claim";
+        spec.urgency = sched::job_class::urgent;
+        spec.tasks = shape.tasks;
+        spec.per_task = shape.per_task;
+        spec.within = shape.within;
+        spec.declared_run_time = core::milliseconds{1000};
+        this->scheduler.submit(spec, this->now);
+        const std::string broken = this->settle();
+        const auto told = this->scheduler.explain(spec.id, this->now);
+        const bool reclaimed = told.has_value() && told->phase != sched::job_phase::queued;
+        return !broken.empty() ? broken
+               : reclaimed     ? ""
+                               : "shape " + shape.name + " of " + owner.str() + " not reclaimed";
+    }
+
+    std::minstd_rand random;
+    const sched::placement_policy& chosen;
+    sched::cell_scheduler scheduler;
+    terms::terms_in_force terms;
+    core::instant now{};
+    int submitted = 0;
+    std::set<core::job_id> known;
+    std::set<core::job_id> placed;
+    std::set<core::job_id> stopping;
+};
+
+TEST_CASE("generated sessions keep every guaranteed shape reclaimable")
+{
+    constexpr std::uint32_t sessions = 150;
+    constexpr int events = 200;
+    for (const std::string policy : {"completion", "fragmentation"})
+    {
+        for (std::uint32_t seed = 1; seed <= sessions; ++seed)
+        {
+            random_cell cell(seed, policy);
+            std::string broken;
+            for (int event = 0; event < events && broken.empty(); ++event)
+            {
+                broken = cell.step();
+            }
+            broken = broken.empty() ? cell.reclaim_everything() : broken;
+            INFO(policy, " seed ", seed);
+            CHECK(broken == "");
+        }
+    }
+}
+
+} // namespace
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -4,7 +4,6 @@
 #include "wire/wire.pb.h"
 
 #include <CLI/CLI.hpp>
-
 #include <chrono>
 #include <csignal>
 #include <iostream>
@@ -246,8 +245,8 @@
     {
         for (const wire::table_write& write : transaction.writes())
         {
-            if (!write.check_only() && write.key().compare(0, this->plan.prefix.size(),
-                                                           this->plan.prefix) == 0)
+            if (!write.check_only() &&
+                write.key().compare(0, this->plan.prefix.size(), this->plan.prefix) == 0)
             {
                 return true;
             }
@@ -325,7 +324,8 @@
     net::server_limits limits;
     limits.largest_body = 4U << 20U;
     limits.threads = 128;
-    const net::http_server server(address, limits, [&service](const net::server_request& request)
+    const net::http_server server(address, limits,
+                                  [&service](const net::server_request& request)
                                   { return service.answer(request); });
     std::cout << "ready " << server.address() << std::endl;
     int received = 0;
--- a/tests/standins/upstream.cpp
+++ b/tests/standins/upstream.cpp
@@ -5,7 +5,6 @@
 #include "wire/wire.pb.h"
 
 #include <CLI/CLI.hpp>
-
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -62,8 +61,8 @@
         const std::lock_guard lock(this->guard);
         if (this->file.is_open())
         {
-            this->file << core::boot_clock::now().time_since_epoch().count() << ' ' << event
-                       << ' ' << name << ' ' << detail << std::endl;
+            this->file << core::boot_clock::now().time_since_epoch().count() << ' ' << event << ' '
+                       << name << ' ' << detail << std::endl;
         }
     }
 
