Order by guarantee, keep chosen racks, move small work; measure it

Racks where others hold guarantees were reserved and never drained. 4. Nothing could move small work out of a waiting gang's way. Change: work inside its organisation's guarantee goes first and only real placements count towards the 64; a blocked job keeps its chosen group; groups free of others' footprints are preferred; a large gang that waits moves smaller or batch work that loses little, at most three times each.

--- /dev/null
+++ b/benchmark/decisions.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace chicorylift::benchmark
+{
+
+/// Compares the weightings with the baselines on both users' mixes.
+/// @return the number of replays in which an invariant broke.
+int run_decisions();
+
+/// Measures nanoseconds and bytes per decision as the cell and the fleet grow.
+int run_cost();
+
+} // namespace chicorylift::benchmark
--- a/include/chicorylift/sched/placement_policy.hpp
+++ b/include/chicorylift/sched/placement_policy.hpp
@@ -30,6 +30,8 @@
     std::int64_t fitting;
     /// Accelerators guaranteed to other organisations here.
     std::int64_t reserved_for_others;
+    /// Free accelerators in the worker's rack.
+    std::int64_t rack_free;
 };
 
 /// How estimates of a job's end are made.
@@ -52,6 +54,8 @@
     double (*worker_key)(const queued_view& job, const candidate_view& worker);
     /// Whether a blocked job may hold a reservation that later jobs must not delay.
     bool (*may_reserve)(const queued_view& job);
+    /// Whether small work may be moved to make room for a blocked job; nullptr for never.
+    bool (*may_consolidate)(const queued_view& job) = nullptr;
     estimate_source estimates = estimate_source::learned;
     /// Number of blocked jobs that hold a reservation at once.
     std::int64_t reservations = 1;
--- a/src/daemon/cell_lead.hpp
+++ b/src/daemon/cell_lead.hpp
@@ -124,7 +124,7 @@
     void commit_gang(driven_job& job);
     void attempt_over(driven_job& job, const gang::report_result& result);
     void conclude(driven_job& job, const std::string& state, const std::string& detail);
-    void write_job(pending_write write);
+    void write_job(const pending_write& write);
     void write_done(const pending_write& write, const store::commit_result& result);
     void refresh_jobs();
     void refresh_config();
--- a/src/daemon/cell_lead_jobs.cpp
+++ b/src/daemon/cell_lead_jobs.cpp
@@ -241,7 +241,7 @@
                      }});
 }
 
-void cell_lead::write_job(pending_write write)
+void cell_lead::write_job(const pending_write& write)
 {
     const auto found = this->jobs.find(write.job);
     if (found == this->jobs.end())
@@ -321,7 +321,7 @@
     // A final state stands whatever was asked meanwhile.
     pending_write again = write;
     again.row.set_cancel_requested(present.cancel_requested());
-    this->write_job(std::move(again));
+    this->write_job(again);
 }
 
 } // namespace chicorylift::daemon
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -21,7 +21,6 @@
 constexpr std::string_view component = "entry";
 constexpr std::size_t routing_ring = 16384;
 constexpr core::milliseconds routing_interval{10};
-constexpr core::milliseconds reading_interval{50};
 constexpr std::int64_t polls_per_subscription = 2;
 // Calls may run this much longer than their caller waits, while a cancellation settles.
 constexpr core::milliseconds patience_margin{200};
@@ -62,6 +61,7 @@
                 one.workers.push_back(wire::to_worker(known));
             }
             std::vector<entry_operators::cell_capacity> list;
+            list.reserve(cells.size());
             for (auto& [cell, one] : cells)
             {
                 list.push_back(std::move(one));
--- a/src/daemon/entry_operators.hpp
+++ b/src/daemon/entry_operators.hpp
@@ -44,19 +44,20 @@
         wire::config_head head;
     };
 
-    absl::StatusOr<change> prepare(const net::server_request& request,
-                                   const std::vector<std::string>& rest,
-                                   const config_view& present) const;
-    absl::StatusOr<change> prepare_unit(const std::string& body, const config_view& present) const;
-    absl::StatusOr<change> prepare_contract(const std::string& body,
-                                            const config_view& present) const;
-    absl::StatusOr<change> prepare_preset(const std::string& body,
-                                          const config_view& present) const;
-    absl::StatusOr<change> prepare_switch(const std::string& preset,
-                                          const config_view& present) const;
-    absl::Status check_whole(const terms::configuration& config) const;
-    absl::StatusOr<config_view> read_present() const;
-    absl::Status write(const config_view& present, const change& wanted) const;
+    [[nodiscard]] absl::StatusOr<change> prepare(const net::server_request& request,
+                                                 const std::vector<std::string>& rest,
+                                                 const config_view& present) const;
+    [[nodiscard]] absl::StatusOr<change> prepare_unit(const std::string& body,
+                                                      const config_view& present) const;
+    [[nodiscard]] absl::StatusOr<change> prepare_contract(const std::string& body,
+                                                          const config_view& present) const;
+    [[nodiscard]] absl::StatusOr<change> prepare_preset(const std::string& body,
+                                                        const config_view& present) const;
+    [[nodiscard]] absl::StatusOr<change> prepare_switch(const std::string& preset,
+                                                        const config_view& present) const;
+    [[nodiscard]] absl::Status check_whole(const terms::configuration& config) const;
+    [[nodiscard]] absl::StatusOr<config_view> read_present() const;
+    [[nodiscard]] absl::Status write(const config_view& present, const change& wanted) const;
 
     store::table& table;
     std::function<std::vector<cell_capacity>()> capacity;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -181,7 +181,7 @@
     {
         return invalid("entries", "0", "at least 1");
     }
-    const absl::Status checked = first_error(
+    absl::Status checked = first_error(
         {check_named("name", values.name), check_named("region", values.region),
          check_named("zone", values.zone), check_address("listen", values.listen),
          check_address("http", values.http), check_address("table", values.table_address),
--- a/src/route/call_router.cpp
+++ b/src/route/call_router.cpp
@@ -85,8 +85,9 @@
             bucket.filled = now;
         }
     }
-    for (auto& [organisation, bucket] : this->buckets)
+    for (auto& [known, bucket] : this->buckets)
     {
+        const core::organisation_id& organisation = known;
         const bool agreed = std::any_of(terms.organisations.begin(), terms.organisations.end(),
                                         [&](const terms::organisation_terms& owner)
                                         { return owner.organisation == organisation; });
--- a/src/sched/cell_report.cpp
+++ b/src/sched/cell_report.cpp
@@ -84,7 +84,8 @@
 template <class Container>
 std::size_t bytes_of(const Container& items)
 {
-    return items.capacity() * sizeof(typename Container::value_type);
+    using item = typename Container::value_type;
+    return items.capacity() * sizeof(item);
 }
 
 } // namespace
--- a/src/sched/cell_scheduler.cpp
+++ b/src/sched/cell_scheduler.cpp
@@ -21,7 +21,7 @@
 constexpr core::milliseconds first_quarantine = std::chrono::seconds{30};
 constexpr std::int64_t most_quarantine_doublings = 6;
 constexpr std::int64_t most_failed_runs = 3;
-constexpr std::size_t jobs_tried_per_pass = 64;
+constexpr std::size_t placements_tried_per_pass = 64;
 
 job_entry* find_job(cell_state& cell, const core::job_id& id)
 {
@@ -157,27 +157,47 @@
 {
     job_entry* job = nullptr;
     int rank{};
+    bool urgent = false;
     double key{};
 };
 
-/// @return the first jobs of the queue, in the policy's order.
+/// @return 0 for work inside its organisation's guarantee, 1 for other urgent work, else 2.
+int rank_of(const cell_state& cell, const job_entry& job)
+{
+    if (!cell.policy->urgent_first)
+    {
+        return 0;
+    }
+    const organisation_state& owner = cell.organisations[job.organisation];
+    if (core::fits(owner.used + job.spec.total(), owner.guaranteed))
+    {
+        return 0;
+    }
+    return job.spec.urgency == job_class::urgent ? 1 : 2;
+}
+
+/// @return the queue in the policy's order.
 std::vector<ordered_job> queue_order(const cell_state& cell, core::instant now)
 {
     std::vector<ordered_job> order;
     order.reserve(cell.queue.size());
     for (job_entry* job : cell.queue)
     {
-        const int rank = cell.policy->urgent_first ? static_cast<int>(job->spec.urgency) : 0;
-        const int urgent_rank = rank == static_cast<int>(job_class::urgent) ? 0 : 1;
-        order.push_back({job, urgent_rank, cell.policy->queue_key(view_of(cell, *job, now))});
+        order.push_back({job, rank_of(cell, *job), job->spec.urgency == job_class::urgent,
+                         cell.policy->queue_key(view_of(cell, *job, now))});
     }
-    const auto before = [](const ordered_job& left, const ordered_job& right)
+    const bool heeds_urgency = cell.policy->urgent_first;
+    const auto before = [heeds_urgency](const ordered_job& left, const ordered_job& right)
     {
         if (left.rank != right.rank)
         {
             return left.rank < right.rank;
         }
-        if (left.rank == 0 && left.job->spec.deadline != right.job->spec.deadline)
+        if (heeds_urgency && left.urgent != right.urgent)
+        {
+            return left.urgent;
+        }
+        if (heeds_urgency && left.urgent && left.job->spec.deadline != right.job->spec.deadline)
         {
             return left.job->spec.deadline.value_or(core::instant::max()) <
                    right.job->spec.deadline.value_or(core::instant::max());
@@ -185,10 +205,7 @@
         return left.key != right.key ? left.key < right.key
                                      : left.job->spec.id < right.job->spec.id;
     };
-    const std::size_t kept = std::min(order.size(), jobs_tried_per_pass);
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept), order.end(),
-                      before);
-    order.resize(kept);
+    std::sort(order.begin(), order.end(), before);
     return order;
 }
 
@@ -196,18 +213,15 @@
 {
     dequeue(cell, job);
     job.placement = std::move(parts);
+    job.kept_group.clear();
     job.reason = wait_reason::none;
     job.phase = job_phase::starting;
     allocate(cell, job);
 }
 
-bool place_by_reclaim(cell_state& cell, job_entry& job, core::instant now)
+/// Places the job once the plan's victims have stopped.
+bool place_by_plan(cell_state& cell, job_entry& job, reclaim_plan plan)
 {
-    if (!cell.policy->honours_guarantees || !cell.reclaim_allowed)
-    {
-        return false;
-    }
-    reclaim_plan plan = plan_reclaim(cell, job, now);
     if (plan.parts.empty())
     {
         return false;
@@ -230,6 +244,30 @@
     return true;
 }
 
+bool place_by_reclaim(cell_state& cell, job_entry& job, core::instant now)
+{
+    if (!cell.policy->honours_guarantees || !cell.reclaim_allowed)
+    {
+        return false;
+    }
+    if (place_by_plan(cell, job, plan_reclaim(cell, job, now)))
+    {
+        return true;
+    }
+    const bool may_move = cell.policy->may_consolidate != nullptr &&
+                          cell.policy->may_consolidate(view_of(cell, job, now));
+    if (!may_move)
+    {
+        return false;
+    }
+    reclaim_plan plan = plan_consolidation(cell, job, now);
+    for (job_entry* victim : plan.victims)
+    {
+        ++victim->moves;
+    }
+    return place_by_plan(cell, job, std::move(plan));
+}
+
 /// One pass over the queue.
 class scheduling_pass
 {
@@ -240,7 +278,9 @@
     {
         for (const ordered_job& next : queue_order(this->cell, this->now))
         {
-            if (!this->settle(*next.job) && this->cell.policy->strict_order)
+            const bool settled = this->settle(*next.job);
+            if ((!settled && this->cell.policy->strict_order) ||
+                this->tried == placements_tried_per_pass)
             {
                 return;
             }
@@ -262,6 +302,7 @@
             job.reason = wait_reason::no_room;
             return false;
         }
+        ++this->tried;
         bool behind_reservation = false;
         std::vector<part> parts =
             find_room(this->cell, job, this->reservations, this->now, behind_reservation);
@@ -284,7 +325,7 @@
         return false;
     }
 
-    void keep_room(const job_entry& job)
+    void keep_room(job_entry& job)
     {
         const auto held = static_cast<std::int64_t>(this->reservations.size());
         if (held >= this->cell.policy->reservations ||
@@ -303,6 +344,7 @@
     core::instant now;
     std::vector<reservation> reservations;
     std::vector<tried_shape> failed;
+    std::size_t tried = 0;
 };
 
 } // namespace
@@ -401,7 +443,10 @@
         for (const terms::shape_terms& shape : owner.guarantees)
         {
             known.guaranteed += shape.per_task * shape.tasks;
-            known.footprints.push_back({.shape = shape, .parts = {}, .short_since = {}});
+            if (policy.honours_guarantees)
+            {
+                known.footprints.push_back({.shape = shape, .parts = {}, .short_since = {}});
+            }
         }
     }
     cell.footprints_dirty = true;
--- a/src/sched/cell_state.hpp
+++ b/src/sched/cell_state.hpp
@@ -100,7 +100,11 @@
     core::job_id claimant;
     stop_reason stopping_for = stop_reason::none;
     std::int64_t failed_runs{};
+    /// Times that this job made way for a large gang.
+    std::int64_t moves{};
     std::size_t queue_slot{};
+    /// Workers kept for this job since it was first blocked.
+    std::vector<worker_index> kept_group;
 };
 
 /// Room kept for a blocked job.
@@ -184,9 +188,9 @@
 [[nodiscard]] std::vector<part> find_room(const cell_state& cell, const job_entry& job,
                                           const std::vector<reservation>& reservations,
                                           core::instant now, bool& behind_reservation);
-/// Computes when and where a blocked job could start.
+/// Computes when and where a blocked job could start, and notes the group in the job.
 /// @return the room to keep, or nothing when no group could ever hold the gang.
-[[nodiscard]] std::optional<reservation> reserve_room(const cell_state& cell, const job_entry& job,
+[[nodiscard]] std::optional<reservation> reserve_room(const cell_state& cell, job_entry& job,
                                                       core::instant now);
 
 /// Room that can be made by stopping others' work.
@@ -201,6 +205,11 @@
 [[nodiscard]] reclaim_plan plan_reclaim(const cell_state& cell, const job_entry& job,
                                         core::instant now);
 
+/// Finds room for a large gang by moving small work that a checkpoint saves.
+/// @return an empty plan when that would not make room.
+[[nodiscard]] reclaim_plan plan_consolidation(const cell_state& cell, const job_entry& job,
+                                              core::instant now);
+
 /// Gives a footprint to each guaranteed shape that has none, moving others when needed.
 void place_footprints(cell_state& cell, core::instant now);
 /// Takes all of a footprint's parts out of the accounts.
--- a/src/sched/fitting.cpp
+++ b/src/sched/fitting.cpp
@@ -57,6 +57,19 @@
     return reserved;
 }
 
+std::unordered_map<core::rack_id, std::int64_t> free_by_rack(const cell_state& cell)
+{
+    std::unordered_map<core::rack_id, std::int64_t> free;
+    for (const auto& [rack, workers] : cell.racks)
+    {
+        for (const worker_index index : workers)
+        {
+            free[rack] += cell.workers[index].free().accelerators;
+        }
+    }
+    return free;
+}
+
 bool delays(const reservation& kept, worker_index worker, core::instant end)
 {
     return kept.workers[worker] && end > kept.start;
@@ -90,10 +103,30 @@
     core::resources amount;
 };
 
+/// Whether room is sought where other organisations hold guarantees.
+enum class footprint_use
+{
+    left_free,
+    taken,
+};
+
+core::resources footprints_of_others(const worker_state& worker, organisation_index organisation)
+{
+    core::resources sum;
+    for (const organisation_share& share : worker.shares)
+    {
+        if (share.organisation != organisation)
+        {
+            sum += share.footprint;
+        }
+    }
+    return sum;
+}
+
 /// @return when the group's workers will have room for the gang, by the expected ends.
 std::optional<core::instant> earliest_start(const cell_state& cell, const job_entry& job,
                                             const std::vector<worker_index>& group,
-                                            core::instant now)
+                                            footprint_use others, core::instant now)
 {
     std::vector<release_event> ends;
     std::unordered_map<worker_index, core::resources> free;
@@ -108,6 +141,10 @@
             continue;
         }
         free[index] = worker.free();
+        if (others == footprint_use::left_free)
+        {
+            free[index] -= footprints_of_others(worker, job.organisation);
+        }
         fitting += fit(index);
         for (const job_entry* running : worker.jobs)
         {
@@ -153,6 +190,7 @@
         reservations.empty() ? now : now + expected_run(cell, job, late_end_quantile);
     std::vector<part> best;
     double best_key = std::numeric_limits<double>::infinity();
+    const std::unordered_map<core::rack_id, std::int64_t> rack_free = free_by_rack(cell);
     const auto consider = [&](const std::vector<worker_index>& group)
     {
         std::vector<candidate> candidates;
@@ -179,7 +217,8 @@
             }
             const double key =
                 cell.policy->worker_key(view, {worker.free(), worker.info.capacity, fit,
-                                               reserved_for_others(worker, job.organisation)});
+                                               reserved_for_others(worker, job.organisation),
+                                               rack_free.at(worker.info.rack)});
             candidates.push_back({index, std::min(fit, job.spec.tasks), key});
             fitting += fit;
             group_key += key;
@@ -194,25 +233,37 @@
     return best;
 }
 
-std::optional<reservation> reserve_room(const cell_state& cell, const job_entry& job,
-                                        core::instant now)
+std::optional<reservation> reserve_room(const cell_state& cell, job_entry& job, core::instant now)
 {
-    std::optional<core::instant> soonest;
-    std::vector<worker_index> chosen;
+    // A group once chosen is kept: choosing anew on each pass would let no group ever drain.
+    std::optional<core::instant> soonest =
+        earliest_start(cell, job, job.kept_group, footprint_use::taken, now);
+    std::vector<worker_index> chosen = job.kept_group;
+    footprint_use others = footprint_use::left_free;
     const auto consider = [&](const std::vector<worker_index>& group)
     {
-        const auto start = earliest_start(cell, job, group, now);
+        const auto start = earliest_start(cell, job, group, others, now);
         if (start.has_value() && (!soonest.has_value() || *start < *soonest))
         {
             soonest = start;
             chosen = group;
         }
     };
-    for_each_group(cell, job.spec.within, consider);
+    if (!soonest.has_value())
+    {
+        // Where others hold guarantees a group may never drain, so it is the second choice.
+        for_each_group(cell, job.spec.within, consider);
+    }
+    if (!soonest.has_value())
+    {
+        others = footprint_use::taken;
+        for_each_group(cell, job.spec.within, consider);
+    }
     if (!soonest.has_value())
     {
         return std::nullopt;
     }
+    job.kept_group = chosen;
     reservation kept{std::vector<bool>(cell.workers.size(), false), *soonest};
     for (const worker_index index : chosen)
     {
--- a/src/sched/footprints.cpp
+++ b/src/sched/footprints.cpp
@@ -223,8 +223,12 @@
 absl::Status check_placeable(const terms::terms_in_force& terms,
                              const std::vector<worker_info>& workers)
 {
-    static constexpr placement_policy any_policy{
-        .name = "", .description = "", .queue_key = {}, .worker_key = {}, .may_reserve = {}};
+    static constexpr placement_policy any_policy{.name = "",
+                                                 .description = "",
+                                                 .queue_key = {},
+                                                 .worker_key = {},
+                                                 .may_reserve = {},
+                                                 .may_consolidate = {}};
     cell_scheduler empty(any_policy);
     for (const worker_info& worker : workers)
     {
--- a/src/sched/policies.cpp
+++ b/src/sched/policies.cpp
@@ -60,6 +60,14 @@
            reserved_weight * static_cast<double>(worker.reserved_for_others);
 }
 
+/// As tightest_outside_footprints, but fills broken racks so that whole racks stay free.
+double broken_racks_first(const queued_view& job, const candidate_view& worker)
+{
+    constexpr double rack_weight = 0.5;
+    return tightest_outside_footprints(job, worker) +
+           rack_weight * static_cast<double>(worker.rack_free);
+}
+
 bool never(const queued_view&)
 {
     return false;
@@ -84,6 +92,13 @@
     return job.spec.total().accelerators >= large_gang_accelerators || after_long_wait(job);
 }
 
+/// A large gang may move small work once it has waited for a short while.
+bool large_and_waiting(const queued_view& job)
+{
+    constexpr core::milliseconds patience = std::chrono::minutes{2};
+    return job.spec.total().accelerators >= large_gang_accelerators && job.waited >= patience;
+}
+
 constexpr placement_policy completion{
     .name = "completion",
     .description = "completion time first: shortest expected run first, backfill by learned times",
@@ -96,8 +111,9 @@
     .name = "fragmentation",
     .description = "fragmentation first: large gangs first, with room kept for them",
     .queue_key = largest_gang_first,
-    .worker_key = tightest_outside_footprints,
+    .worker_key = broken_racks_first,
     .may_reserve = large_or_long_waiting,
+    .may_consolidate = large_and_waiting,
     .reservations = 2,
 };
 
--- a/src/sched/reclaim.cpp
+++ b/src/sched/reclaim.cpp
@@ -56,35 +56,95 @@
     double lost{};
 };
 
+/// @return whether the other job's organisation uses more here than is set aside for it.
+bool is_borrowing(const worker_state& worker, const job_entry& other)
+{
+    const organisation_share theirs = share_on(worker, other.organisation);
+    return !core::fits(theirs.used, theirs.footprint);
+}
+
+/// What a job may claim on a worker, and whose work it may displace there.
+struct claim_rule
+{
+    core::resources (*entitled)(const worker_state& worker, const job_entry& job);
+    bool (*may_displace)(const worker_state& worker, const job_entry& job, const job_entry& other,
+                         core::instant now);
+    /// Whether displaced work of the job's own organisation adds to the claim.
+    bool own_work_counts = false;
+};
+
+core::resources unused_footprint(const worker_state& worker, const job_entry& job)
+{
+    const organisation_share own = share_on(worker, job.organisation);
+    return own.footprint - own.used;
+}
+
+bool may_reclaim(const worker_state& worker, const job_entry& job, const job_entry& other,
+                 core::instant)
+{
+    return other.organisation != job.organisation ? is_borrowing(worker, other)
+                                                  : outranks(job, other);
+}
+
+/// Keeps firm work outside others' footprints; work that can be stopped may go anywhere.
+core::resources room_clear_of_footprints(const worker_state& worker, const job_entry& job)
+{
+    if (job.spec.reclaimable())
+    {
+        return worker.info.capacity;
+    }
+    const organisation_share own = share_on(worker, job.organisation);
+    const core::resources held = core::at_least(own.firm, own.footprint);
+    return worker.info.capacity - worker.committed + held - own.firm;
+}
+
+/// Only smaller or lower work that loses little makes way, and not again and again.
+bool may_move(const worker_state& worker, const job_entry& job, const job_entry& other,
+              core::instant now)
+{
+    constexpr core::milliseconds least_run = std::chrono::minutes{5};
+    // What is thrown away stays small beside what the gang has waited already.
+    constexpr double share_of_wait = 0.1;
+    constexpr std::int64_t times_smaller = 2;
+    constexpr std::int64_t most_moves = 3;
+    const core::milliseconds ran = now - other.started;
+    const double waited = static_cast<double>((now - job.submitted).count()) *
+                          static_cast<double>(job.spec.total().accelerators);
+    const bool cheap = other.spec.checkpointable ? ran >= least_run
+                                                 : lost_work(other, now) <= share_of_wait * waited;
+    const bool smaller =
+        other.spec.total().accelerators * times_smaller <= job.spec.total().accelerators;
+    const bool lower_class =
+        other.spec.urgency == job_class::batch && job.spec.urgency != job_class::batch;
+    return cheap && (smaller || lower_class) && other.spec.urgency != job_class::urgent &&
+           other.moves < most_moves && is_borrowing(worker, other);
+}
+
+constexpr claim_rule guarantee_rule{
+    .entitled = unused_footprint, .may_displace = may_reclaim, .own_work_counts = true};
+constexpr claim_rule consolidation_rule{.entitled = room_clear_of_footprints,
+                                        .may_displace = may_move};
+
 /// Finds what the job may displace on a worker, work that loses least first.
-worker_claim claim_on(const cell_state& cell, const job_entry& job, worker_index index,
-                      core::instant now)
+worker_claim claim_on(const cell_state& cell, const job_entry& job, const claim_rule& rule,
+                      worker_index index, core::instant now)
 {
     const worker_state& worker = cell.workers[index];
-    const organisation_share own = share_on(worker, job.organisation);
     worker_claim claim{.worker = index,
-                       .entitled = own.footprint - own.used,
+                       .entitled = rule.entitled(worker, job),
                        .victims = {},
                        .fitting = 0,
                        .lost = 0};
     for (job_entry* other : worker.jobs)
     {
-        if (!can_be_stopped(*other))
+        if (!can_be_stopped(*other) || !rule.may_displace(worker, job, *other, now))
         {
             continue;
         }
-        if (other->organisation != job.organisation)
-        {
-            const organisation_share theirs = share_on(worker, other->organisation);
-            if (!core::fits(theirs.used, theirs.footprint))
-            {
-                claim.victims.push_back(other);
-            }
-        }
-        else if (outranks(job, *other))
+        claim.victims.push_back(other);
+        if (rule.own_work_counts && other->organisation == job.organisation)
         {
             claim.entitled += use_on(*other, index);
-            claim.victims.push_back(other);
         }
     }
     std::sort(claim.victims.begin(), claim.victims.end(),
@@ -132,7 +192,7 @@
 
 /// Claims room in one group of workers.
 /// @return the plan, empty when the group lacks room, and its loss through @p lost.
-reclaim_plan plan_in_group(const cell_state& cell, const job_entry& job,
+reclaim_plan plan_in_group(const cell_state& cell, const job_entry& job, const claim_rule& rule,
                            const std::vector<worker_index>& group, core::instant now, double& lost)
 {
     std::vector<worker_claim> claims;
@@ -144,7 +204,7 @@
         {
             continue;
         }
-        worker_claim claim = claim_on(cell, job, index, now);
+        worker_claim claim = claim_on(cell, job, rule, index, now);
         worker_claim trimmed = claim;
         while (claim.fitting > 0 && !trim_victims(cell, job, trimmed, claim.fitting, {}, now))
         {
@@ -189,16 +249,15 @@
     return plan;
 }
 
-} // namespace
-
-reclaim_plan plan_reclaim(const cell_state& cell, const job_entry& job, core::instant now)
+reclaim_plan plan_by(const claim_rule& rule, const cell_state& cell, const job_entry& job,
+                     core::instant now)
 {
     reclaim_plan best;
     double least_lost = std::numeric_limits<double>::infinity();
     const auto consider = [&](const std::vector<worker_index>& group)
     {
         double lost = 0;
-        reclaim_plan plan = plan_in_group(cell, job, group, now, lost);
+        reclaim_plan plan = plan_in_group(cell, job, rule, group, now, lost);
         if (!plan.parts.empty() && lost < least_lost)
         {
             least_lost = lost;
@@ -209,4 +268,16 @@
     return best;
 }
 
+} // namespace
+
+reclaim_plan plan_reclaim(const cell_state& cell, const job_entry& job, core::instant now)
+{
+    return plan_by(guarantee_rule, cell, job, now);
+}
+
+reclaim_plan plan_consolidation(const cell_state& cell, const job_entry& job, core::instant now)
+{
+    return plan_by(consolidation_rule, cell, job, now);
+}
+
 } // namespace chicorylift::sched
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -103,7 +103,7 @@
             {
                 this->stop(id);
             }
-            const std::string broken = this->settle();
+            std::string broken = this->settle();
             if (!broken.empty())
             {
                 return broken;
@@ -115,7 +115,7 @@
             const bool all_placed = this->scheduler.shortfalls().empty();
             for (const terms::shape_terms& shape : owner.guarantees)
             {
-                const std::string missing =
+                std::string missing =
                     idle && all_placed ? this->reclaim(owner.organisation, shape) : "";
                 if (!missing.empty())
                 {
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -241,7 +241,7 @@
         return plain(200, wire::to_row(result));
     }
 
-    bool is_hit(const wire::table_commit& transaction) const
+    [[nodiscard]] bool is_hit(const wire::table_commit& transaction) const
     {
         for (const wire::table_write& write : transaction.writes())
         {
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -140,7 +140,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
-    ::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
+    static_cast<void>(::bind(socket, reinterpret_cast<sockaddr*>(&address), length));
     ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
     ::close(socket);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
