--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -48,7 +48,8 @@
       store_requests(store_threads, store_ring)
 {
     this->calls = std::make_unique<agent_calls>(
-        this->incarnation, [this](const std::string& address, wire::envelope message)
+        this->incarnation, this->values.call_threads,
+        [this](const std::string& address, wire::envelope message)
         { this->send(address, std::move(message)); });
     admit::part_settings times;
     times.lease = this->values.gang_lease;
--- a/src/daemon/agent_calls.cpp
+++ b/src/daemon/agent_calls.cpp
@@ -13,18 +13,16 @@
 
 using core::error_kind;
 
-// The connections that one upstream takes.
-constexpr std::size_t runner_threads = 64;
 constexpr std::size_t runner_ring = 256;
 constexpr std::size_t most_known_entries = 256;
 constexpr int first_error_status = 500;
 
 } // namespace
 
-agent_calls::agent_calls(std::string incarnation,
+agent_calls::agent_calls(std::string incarnation, std::size_t threads,
                          std::function<void(const std::string&, wire::envelope)> send)
     : incarnation(std::move(incarnation)), send(std::move(send)),
-      runners(runner_threads, runner_ring)
+      runners(threads, runner_ring)
 {
 }
 
--- a/src/daemon/agent_calls.hpp
+++ b/src/daemon/agent_calls.hpp
@@ -19,7 +19,8 @@
 {
 public:
     /// @param send queues a message for another process.
-    agent_calls(std::string incarnation,
+    /// @param threads calls that may be open to the upstream at once.
+    agent_calls(std::string incarnation, std::size_t threads,
                 std::function<void(const std::string&, wire::envelope)> send);
 
     /// Takes in what the upstream announced.
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -20,6 +20,7 @@
 
 constexpr const char* version_text = "chicorylift 0.1.0";
 constexpr std::int64_t shortest_time_ms = 50;
+constexpr std::uint32_t most_call_threads = 1024;
 constexpr std::int64_t longest_time_ms = 3'600'000;
 
 absl::Status invalid(const std::string& setting, const std::string& value,
@@ -135,6 +136,10 @@
     app.add_option("--entries", values.entries, "entries that share an organisation's call rate")
         ->envname("CHICORYLIFT_ENTRIES")
         ->capture_default_str();
+    app.add_option("--call-threads", values.call_threads,
+                   "calls that an agent keeps open to its upstream")
+        ->envname("CHICORYLIFT_CALL_THREADS")
+        ->capture_default_str();
     app.add_option("--log-level", values.log_level, "debug, info, warning or error")
         ->envname("CHICORYLIFT_LOG_LEVEL")
         ->capture_default_str();
@@ -181,6 +186,11 @@
     {
         return invalid("entries", "0", "at least 1");
     }
+    if (values.call_threads == 0 || values.call_threads > most_call_threads)
+    {
+        return invalid("call-threads", std::to_string(values.call_threads),
+                       "1 to " + std::to_string(most_call_threads));
+    }
     absl::Status checked = first_error(
         {check_named("name", values.name), check_named("region", values.region),
          check_named("zone", values.zone), check_address("listen", values.listen),
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -36,6 +36,7 @@
     std::string operator_token;
     std::string log_level = "info";
     std::uint32_t entries = 1;
+    std::uint32_t call_threads = 64;
     core::milliseconds heartbeat{3000};
     core::milliseconds suspect_after{6500};
     core::milliseconds gang_lease{15000};
--- a/tests/standins/upstream.cpp
+++ b/tests/standins/upstream.cpp
@@ -10,8 +10,11 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <thread>
+#include <utility>
+#include <vector>
 
 /// Stand-in for an upstream and the worker that it runs on.
 ///
@@ -24,7 +27,10 @@
 struct options
 {
     std::string listen = "127.0.0.1:0";
-    std::string agent;
+    /// Agents beside it; with several, one worker is played for each.
+    std::vector<std::string> agents;
+    std::int64_t announce_ms = 250;
+    int threads = 80;
     std::string service = "listing-svc";
     std::string record;
     std::uint32_t slots = 8;
@@ -243,20 +249,66 @@
     return wire::to_json(document);
 }
 
-void post_to_agent(const options& given, const std::string& path, const std::string& body)
+void post_to_agent(const std::string& agent, const std::string& path, const std::string& body)
 {
     net::client_request request;
-    request.address = given.agent;
+    request.address = agent;
     request.method = "POST";
     request.path = path;
     request.body = body;
     static_cast<void>(net::exchange(request));
 }
 
+/// One upstream with its server and its agent.
+class played_worker
+{
+public:
+    played_worker(const options& given, std::string agent_address)
+        : agent(std::move(agent_address)), service(given),
+          server(given.listen, limits_of(given), [this](const net::server_request& request)
+                 { return this->service.answer(request); }),
+          announcement(announcement_of(given, this->server.address()))
+    {
+    }
+
+    /// Announces itself to its agent, or tells it once that it leaves.
+    void announce()
+    {
+        if (!this->service.is_leaving())
+        {
+            this->left = false;
+            post_to_agent(this->agent, "/v1/announce", this->announcement);
+        }
+        else if (!std::exchange(this->left, true))
+        {
+            post_to_agent(this->agent, "/v1/leave", "");
+        }
+    }
+
+    [[nodiscard]] std::string address() const { return this->server.address(); }
+
+private:
+    static net::server_limits limits_of(const options& given)
+    {
+        net::server_limits limits;
+        limits.threads = given.threads;
+        return limits;
+    }
+
+    std::string agent;
+    upstream service;
+    net::http_server server;
+    std::string announcement;
+    bool left = false;
+};
+
 void add_options(CLI::App& app, options& given)
 {
     app.add_option("--listen", given.listen, "IP number and port");
-    app.add_option("--agent", given.agent, "HTTP address of the agent beside it")->required();
+    app.add_option("--agent", given.agents, "HTTP address of the agent beside it, repeated")
+        ->required();
+    app.add_option("--announce-ms", given.announce_ms, "interval between announcements");
+    app.add_option("--threads", given.threads, "threads of each worker that is played");
     app.add_option("--service", given.service, "service that it serves");
     app.add_option("--record", given.record, "file to write down what was run");
     app.add_option("--slots", given.slots, "calls at once");
@@ -280,33 +332,22 @@
     sigaddset(&stops, SIGINT);
     pthread_sigmask(SIG_BLOCK, &stops, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    upstream service(given);
-    net::server_limits limits;
-    limits.threads = 80;
-    const net::http_server server(given.listen, limits,
-                                  [&service](const net::server_request& request)
-                                  { return service.answer(request); });
-    std::cout << "ready " << server.address() << std::endl;
-    const std::string announcement = announcement_of(given, server.address());
-    bool left = false;
-    timespec interval{1, 0};
-    for (;;)
+    std::vector<std::unique_ptr<played_worker>> workers;
+    for (const std::string& agent : given.agents)
     {
-        if (!service.is_leaving())
-        {
-            left = false;
-            post_to_agent(given, "/v1/announce", announcement);
-        }
-        else if (!left)
-        {
-            left = true;
-            post_to_agent(given, "/v1/leave", "");
-        }
-        constexpr long quarter_second_ns = 250'000'000;
-        interval = {0, quarter_second_ns};
-        if (sigtimedwait(&stops, nullptr, &interval) > 0)
+        workers.push_back(std::make_unique<played_worker>(given, agent));
+    }
+    std::cout << "ready " << workers.front()->address() << std::endl;
+    constexpr std::int64_t ms_per_second = 1000;
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    const timespec interval{given.announce_ms / ms_per_second,
+                            given.announce_ms % ms_per_second * ns_per_ms};
+    do
+    {
+        for (const auto& worker : workers)
         {
-            return 0;
+            worker->announce();
         }
-    }
+    } while (sigtimedwait(&stops, nullptr, &interval) <= 0);
+    return 0;
 }
