Apply patience to given sockets; let a refusing agent lead; split large files

The stand-in's announcements hung on the frozen agent, every agent took its upstream as silent, and an agent that takes no new work did not stand for lead. The hang was ours: an HTTP session does not pass its timeout on to a socket that it is given, so no exchange with a silent peer ended in time. Change: the patience is set on the socket itself; an agent that refuses work can still lead, since running gangs need somebody to renew them.

--- a/include/chicorylift/sched/placement_policy.hpp
+++ b/include/chicorylift/sched/placement_policy.hpp
@@ -66,4 +66,7 @@
     bool honours_guarantees = true;
 };
 
+/// @return the registered policy with that name, or the one that puts completion time first.
+[[nodiscard]] const placement_policy& policy_or_default(std::string_view name) noexcept;
+
 } // namespace chicorylift::sched
--- /dev/null
+++ b/src/daemon/agent_http.cpp
@@ -0,0 +1,108 @@
+#include "chicorylift/core/error.hpp"
+#include "daemon/agent.hpp"
+#include "wire/convert.hpp"
+#include "wire/json.hpp"
+
+#include <future>
+#include <memory>
+
+/// The agent's part that answers its upstream over HTTP.
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+using core::error_kind;
+
+constexpr core::milliseconds local_patience{2000};
+constexpr std::uint32_t most_slots = 4096;
+
+} // namespace
+
+net::server_response agent::answer(const net::server_request& request)
+{
+    const std::string path = request.path.empty() ? "" : request.path.back();
+    net::server_response response;
+    if (request.method == "POST" && path == "announce")
+    {
+        return this->on_announcement(request);
+    }
+    if (request.method == "POST" && path == "leave")
+    {
+        static_cast<void>(this->thread->post(
+            [this]
+            {
+                this->upstream_leaving = true;
+                this->set_leaving(true, false);
+            }));
+        response.body = "{}";
+        return response;
+    }
+    if (request.method == "GET" && path == "metrics")
+    {
+        const net::transport_counters seen = this->wires->counters();
+        response.content_type = "text/plain";
+        response.body = this->figures.to_text() +
+                        "chicorylift_wire_messages_total{kind=\"sent\"} " +
+                        std::to_string(seen.messages_sent) +
+                        "\nchicorylift_wire_messages_total{kind=\"received\"} " +
+                        std::to_string(seen.messages_received) +
+                        "\nchicorylift_wire_messages_total{kind=\"malformed\"} " +
+                        std::to_string(seen.malformed) + "\n";
+        return response;
+    }
+    if (request.method == "GET" && (path == "status" || path == "healthz"))
+    {
+        auto told = std::make_shared<std::promise<std::string>>();
+        std::future<std::string> text = told->get_future();
+        if (this->thread->post([this, told] { told->set_value(wire::to_json(this->status())); }) &&
+            text.wait_for(local_patience) == std::future_status::ready)
+        {
+            response.body = text.get();
+            return response;
+        }
+        return net::error_response(core::make_error(error_kind::internal, "the agent is stuck"));
+    }
+    return net::error_response(core::make_error(
+        error_kind::not_found, request.method + " \"" + path + "\" does not exist"));
+}
+
+net::server_response agent::on_announcement(const net::server_request& request)
+{
+    wire::announcement upstream;
+    const absl::Status read = wire::from_json(request.body, upstream);
+    if (!read.ok())
+    {
+        return net::error_response(read);
+    }
+    const absl::Status named = wire::check_name("service", upstream.service());
+    if (!named.ok())
+    {
+        return net::error_response(named);
+    }
+    if (upstream.slots() == 0 || upstream.slots() > most_slots || upstream.connections() == 0)
+    {
+        return net::error_response(core::make_error(
+            error_kind::invalid_request,
+            "slots is " + std::to_string(upstream.slots()) + " and connections is " +
+                std::to_string(upstream.connections()) + "; allowed are 1 to 4096"));
+    }
+    static_cast<void>(this->thread->post([this, upstream] { this->announced(upstream); }));
+    net::server_response response;
+    response.body = "{}";
+    return response;
+}
+
+wire::member_status agent::status() const
+{
+    wire::member_status document;
+    document.set_agent(this->values.name);
+    document.set_state(this->is_refusing()  ? "leaving"
+                       : this->is_announced ? "live"
+                                            : "waiting_for_upstream");
+    document.set_config_version(this->config_version);
+    return document;
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/agent_lead.cpp
@@ -0,0 +1,261 @@
+#include "chicorylift/core/error.hpp"
+#include "daemon/agent.hpp"
+#include "support/log.hpp"
+#include "wire/json.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// The agent's part that follows its cell's lead, and stands for lead when there is none.
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+using core::error_kind;
+
+constexpr std::string_view component = "agent";
+constexpr core::milliseconds candidacy_patience{1000};
+
+} // namespace
+
+void agent::on_fence(const std::string& from, const wire::fence& fence)
+{
+    if (fence.cell() != this->values.cell() || !this->parts->accept_epoch(fence.epoch()))
+    {
+        return;
+    }
+    if (this->leading != nullptr && this->leading->epoch() < fence.epoch())
+    {
+        this->retire_lead();
+    }
+    this->lead.row.set_epoch(fence.epoch());
+    this->lead.row.set_address(from);
+    this->lead.row.set_agent(fence.lead());
+    this->lead.known = true;
+    this->lead.heard = core::boot_clock::now();
+    this->parts->renew();
+    this->send_heartbeat(true);
+}
+
+void agent::on_heartbeat_reply(const std::string& from, const wire::heartbeat_reply& reply)
+{
+    if (!this->parts->accept_epoch(reply.epoch()) || from != this->lead.row.address())
+    {
+        return;
+    }
+    this->lead.heard = core::boot_clock::now();
+    this->parts->renew();
+    if (reply.config_version() > this->config_version)
+    {
+        this->config_version = reply.config_version();
+        support::log::info(component, "configuration in force",
+                           {{"version", std::to_string(this->config_version)}});
+    }
+    if (reply.send_whole())
+    {
+        this->send_heartbeat(true);
+    }
+}
+
+void agent::on_probe(const wire::envelope& message)
+{
+    const wire::probe& probe = message.probing();
+    if (probe.answered() && probe.asker() == this->values.advertise)
+    {
+        if (this->leading != nullptr)
+        {
+            this->leading->deliver(message);
+        }
+        return;
+    }
+    if (!this->parts->accept_epoch(probe.epoch()))
+    {
+        return;
+    }
+    wire::envelope forwarded;
+    *forwarded.mutable_probing() = probe;
+    if (probe.answered())
+    {
+        this->send(probe.asker(), std::move(forwarded));
+        return;
+    }
+    if (probe.target() != this->values.name)
+    {
+        this->send(probe.target_address(), std::move(forwarded));
+        return;
+    }
+    // The lead reached us through another member: it lives, and it vouches for our parts.
+    if (probe.epoch() == this->lead.row.epoch())
+    {
+        this->lead.heard = core::boot_clock::now();
+    }
+    this->parts->renew();
+    forwarded.mutable_probing()->set_answered(true);
+    for (wire::held_part& part : this->parts->held())
+    {
+        *forwarded.mutable_probing()->add_parts() = std::move(part);
+    }
+    this->send(message.from(), std::move(forwarded));
+}
+
+void agent::send_heartbeat(bool whole)
+{
+    this->next_beat = core::boot_clock::now() + this->values.heartbeat;
+    if (!this->lead.known || !this->is_announced)
+    {
+        return;
+    }
+    wire::envelope message;
+    wire::heartbeat* beat = message.mutable_beat();
+    beat->set_agent(this->values.name);
+    beat->set_sequence(++this->beat_sequence);
+    beat->set_epoch(this->parts->epoch());
+    beat->set_config_version(this->config_version);
+    const bool can_be_whole = whole && this->parts->is_ready();
+    beat->set_whole(can_be_whole);
+    if (can_be_whole)
+    {
+        *beat->mutable_member() = this->member;
+        for (wire::held_part& part : this->parts->held())
+        {
+            *beat->add_changed_parts() = std::move(part);
+        }
+    }
+    this->send_to_lead(std::move(message));
+}
+
+void agent::watch_lead(core::instant now)
+{
+    if (this->lead.looking || this->leading != nullptr || this->stopping ||
+        now < this->lead.next_candidacy)
+    {
+        return;
+    }
+    if (!this->lead.known || now - this->lead.heard >= this->values.suspect_after)
+    {
+        this->look_for_lead();
+    }
+}
+
+void agent::look_for_lead()
+{
+    this->lead.looking = this->store_requests.post(
+        [this]
+        {
+            const auto row = this->table->read("lead/" + this->values.cell());
+            static_cast<void>(this->thread->post([this, row] { this->take_lead_row(row); }));
+        });
+}
+
+void agent::take_lead_row(const absl::StatusOr<wire::table_row>& row)
+{
+    this->lead.looking = false;
+    const core::instant now = core::boot_clock::now();
+    std::uniform_int_distribution<std::int64_t> spread(this->values.heartbeat.count() / 4,
+                                                       this->values.heartbeat.count());
+    this->lead.next_candidacy = now + core::milliseconds{spread(this->random)};
+    if (!row.ok() && core::kind_of(row.status()) != error_kind::not_found)
+    {
+        return; // While the store is away nobody can take the cell over.
+    }
+    const std::uint32_t version = row.ok() ? row->version() : 0;
+    const bool changed = version != this->lead.row_version;
+    this->lead.row_version = version;
+    if (row.ok() && (changed || !this->lead.known))
+    {
+        wire::lead_row found;
+        if (wire::from_row(row->value(), found).ok() && found.epoch() >= this->parts->epoch())
+        {
+            this->lead.row = found;
+            this->lead.known = true;
+            // The lead that the row names is given its chance before anyone stands against it.
+            this->lead.heard = now;
+            this->send_heartbeat(true);
+            return;
+        }
+    }
+    if (!row.ok() || now - this->lead.heard >= this->values.suspect_after)
+    {
+        this->stand_for_lead();
+    }
+}
+
+void agent::stand_for_lead()
+{
+    // An agent that takes no new work can still lead: running gangs need somebody to renew them.
+    if (this->stopping || !this->parts->is_ready())
+    {
+        return;
+    }
+    wire::lead_row row;
+    row.set_cell(this->values.cell());
+    row.set_epoch(std::max(this->lead.row.epoch(), this->parts->epoch()) + 1);
+    row.set_agent(this->values.name);
+    row.set_address(this->values.advertise);
+    row.set_incarnation(this->incarnation);
+    wire::table_commit transaction = store::new_transaction();
+    store::add_write(transaction, "lead/" + this->values.cell(), this->lead.row_version,
+                     wire::to_row(row));
+    this->lead.looking = this->store_requests.post(
+        [this, transaction, epoch = row.epoch()]
+        {
+            const store::commit_result result = store::commit_settled(
+                *this->table, transaction, candidacy_patience, [] { return false; });
+            static_cast<void>(this->thread->post(
+                [this, result, epoch]
+                {
+                    this->lead.looking = false;
+                    if (result.outcome == store::commit_outcome::applied)
+                    {
+                        this->become_lead(epoch, result.version);
+                    }
+                }));
+        });
+}
+
+void agent::become_lead(std::uint32_t epoch, std::uint32_t row_version)
+{
+    if (!this->parts->accept_epoch(epoch))
+    {
+        return;
+    }
+    this->lead.row.set_epoch(epoch);
+    this->lead.row.set_agent(this->values.name);
+    this->lead.row.set_address(this->values.advertise);
+    this->lead.row_version = row_version;
+    this->lead.known = true;
+    this->lead.heard = core::boot_clock::now();
+    this->leading = std::make_shared<cell_lead>(
+        lead_context{.values = this->values,
+                     .table = *this->table,
+                     .figures = this->figures,
+                     .send = [this](const std::string& address, wire::envelope message)
+                     { this->send(address, std::move(message)); },
+                     .superseded = [this]
+                     { static_cast<void>(this->thread->post([this] { this->retire_lead(); })); }},
+        epoch, row_version);
+}
+
+void agent::retire_lead()
+{
+    if (this->leading == nullptr)
+    {
+        return;
+    }
+    this->lead.known = false;
+    std::shared_ptr<cell_lead> former = std::exchange(this->leading, nullptr);
+    // Its end waits for open requests to the store, so it must not hold up this thread.
+    static_cast<void>(this->store_requests.post([former]() mutable { former.reset(); }));
+}
+
+void agent::send_to_lead(wire::envelope message)
+{
+    if (this->lead.known)
+    {
+        this->send(this->lead.row.address(), std::move(message));
+    }
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/cell_lead_members.cpp
@@ -0,0 +1,296 @@
+#include "daemon/cell_lead.hpp"
+#include "support/log.hpp"
+#include "wire/convert.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// The lead's part that hears its members and finds out which are lost.
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+constexpr std::string_view component = "lead";
+// An agent that announced its restart is given this many times the usual silence.
+constexpr std::int64_t returning_patience = 4;
+constexpr int helpers_asked = 2;
+
+} // namespace
+
+void cell_lead::on_heartbeat(const std::string& from, const std::string& incarnation,
+                             const wire::heartbeat& beat)
+{
+    if (beat.epoch() > this->my_epoch)
+    {
+        this->step_down("a member follows epoch " + std::to_string(beat.epoch()));
+        return;
+    }
+    const core::worker_id id(beat.agent());
+    const core::instant now = core::boot_clock::now();
+    const auto found = this->members.find(id);
+    const bool is_new = found == this->members.end();
+    if (is_new && !beat.has_member())
+    {
+        // The reply asks for everything; the member is taken in with the next heartbeat.
+        member stranger;
+        stranger.row.set_address(from);
+        stranger.ask_whole = true;
+        this->send_fence(stranger);
+        return;
+    }
+    member& known = this->members[id];
+    const bool restarted = !is_new && known.row.incarnation() != incarnation;
+    if (beat.has_member() && (beat.whole() || !restarted))
+    {
+        known.row = beat.member();
+    }
+    known.row.set_address(from);
+    const bool comes_back =
+        is_new || known.phase == member_phase::lost || restarted ||
+        (known.phase == member_phase::leaving && !known.row.leaving() && beat.whole());
+    known.heard = now;
+    known.probed_until.reset();
+    known.config_version = beat.config_version();
+    known.verify_parts = known.verify_parts || restarted;
+    if (beat.whole())
+    {
+        known.reported_whole = true;
+        known.ask_whole = false;
+        known.row.set_incarnation(incarnation);
+        if (comes_back && !known.row.leaving())
+        {
+            known.phase = member_phase::live;
+            known.returning = false;
+            this->scheduler.worker_joined(wire::to_worker(known.row));
+        }
+        if (known.row.leaving())
+        {
+            known.phase = member_phase::leaving;
+            this->scheduler.worker_leaving(id);
+        }
+    }
+    else if (comes_back)
+    {
+        known.ask_whole = true;
+    }
+    for (const wire::held_part& part : beat.changed_parts())
+    {
+        this->on_held_part(id, part);
+    }
+    if (beat.whole() && std::exchange(known.verify_parts, false))
+    {
+        this->settle_missing_parts(id, beat);
+    }
+    wire::envelope reply;
+    wire::heartbeat_reply* body = reply.mutable_beat_reply();
+    body->set_epoch(this->my_epoch);
+    body->set_sequence(beat.sequence());
+    body->set_config_version(this->config.head().version());
+    body->set_send_whole(known.ask_whole);
+    this->context.send(from, std::move(reply));
+    this->decide();
+}
+
+bool cell_lead::lists_part(const wire::heartbeat& beat, const wire::job_row& job)
+{
+    return std::any_of(beat.changed_parts().begin(), beat.changed_parts().end(),
+                       [&job](const wire::held_part& part)
+                       { return part.job() == job.id() && part.attempt() == job.attempt(); });
+}
+
+void cell_lead::settle_missing_parts(const core::worker_id& worker, const wire::heartbeat& beat)
+{
+    std::vector<std::string> changed;
+    for (auto& [id, job] : this->jobs)
+    {
+        if (job.driver != nullptr && job.driver->is_committed() && !lists_part(beat, job.row))
+        {
+            // Reports about workers without a part are passed over by the driver.
+            job.driver->part_reported(worker, gang::part_event::stopped, core::boot_clock::now());
+            changed.push_back(id);
+        }
+    }
+    for (const std::string& id : changed)
+    {
+        this->run_driver(id);
+    }
+}
+
+void cell_lead::on_held_part(const core::worker_id& worker, const wire::held_part& part)
+{
+    const auto found = this->jobs.find(part.job());
+    const bool current = found != this->jobs.end() && found->second.driver != nullptr &&
+                         found->second.row.attempt() == part.attempt();
+    if (current)
+    {
+        const auto event =
+            gang::part_event_from(part.state() == "running" ? "started" : part.state());
+        if (event.has_value())
+        {
+            found->second.driver->part_reported(worker, *event, core::boot_clock::now());
+            this->run_driver(part.job());
+        }
+        return;
+    }
+    const bool holds = part.state() == "running" || part.state() == "reserved";
+    if (holds && !this->fencing)
+    {
+        // No attempt of this lead stands behind the part.
+        wire::envelope message;
+        wire::part_order* order = message.mutable_stop();
+        order->set_job(part.job());
+        order->set_attempt(part.attempt());
+        order->set_epoch(this->my_epoch);
+        this->send_to(worker, std::move(message));
+    }
+}
+
+void cell_lead::on_report(const wire::part_report& report)
+{
+    const auto found = this->jobs.find(report.job());
+    const auto event = gang::part_event_from(report.state());
+    if (found == this->jobs.end() || !event.has_value() || found->second.driver == nullptr ||
+        found->second.row.attempt() != report.attempt())
+    {
+        return;
+    }
+    if (*event == gang::part_event::refused || *event == gang::part_event::failed)
+    {
+        support::log::info(
+            component, "part " + report.state(),
+            {{"job", report.job()}, {"agent", report.agent()}, {"reason", report.detail()}});
+    }
+    found->second.driver->part_reported(core::worker_id(report.agent()), *event,
+                                        core::boot_clock::now());
+    this->run_driver(report.job());
+    this->decide();
+}
+
+void cell_lead::on_probe_answer(const wire::probe& probe)
+{
+    const core::worker_id id(probe.target());
+    const auto found = this->members.find(id);
+    if (found == this->members.end() || found->second.phase == member_phase::lost)
+    {
+        return;
+    }
+    if (found->second.probed_until.has_value())
+    {
+        support::log::warn(component, "worker reached through another member",
+                           {{"agent", probe.target()}});
+    }
+    found->second.heard = core::boot_clock::now();
+    found->second.probed_until.reset();
+    for (const wire::held_part& part : probe.parts())
+    {
+        this->on_held_part(id, part);
+    }
+    this->decide();
+}
+
+void cell_lead::on_leaving(const wire::leaving_notice& notice)
+{
+    const core::worker_id id(notice.agent());
+    const auto found = this->members.find(id);
+    if (found == this->members.end())
+    {
+        return;
+    }
+    found->second.phase = member_phase::leaving;
+    found->second.returning = notice.returning();
+    this->scheduler.worker_leaving(id);
+    this->decide();
+}
+
+void cell_lead::check_members(core::instant now)
+{
+    for (auto& [id, known] : this->members)
+    {
+        const core::milliseconds patience =
+            this->context.values.suspect_after * (known.returning ? returning_patience : 1);
+        const core::milliseconds silent = now - known.heard;
+        if (known.phase == member_phase::lost || silent < patience / 2)
+        {
+            continue;
+        }
+        // A silent link is not a dead worker: others are asked before it costs a gang, and early
+        // enough for the member not to take its lead as lost meanwhile.
+        if (!known.probed_until.has_value())
+        {
+            this->ask_others(id, known);
+            known.probed_until = now + patience / 2;
+        }
+        else if (silent >= patience && now >= *known.probed_until)
+        {
+            this->lose_member(id, known, now);
+        }
+    }
+}
+
+void cell_lead::ask_others(const core::worker_id& silent, const member& known)
+{
+    int asked = 0;
+    for (const auto& [id, helper] : this->members)
+    {
+        const bool recent =
+            core::boot_clock::now() - helper.heard < this->context.values.suspect_after;
+        if (id == silent || id.str() == this->context.values.name || !recent ||
+            helper.phase == member_phase::lost)
+        {
+            continue;
+        }
+        wire::envelope message;
+        wire::probe* probe = message.mutable_probing();
+        probe->set_target(silent.str());
+        probe->set_target_address(known.row.address());
+        probe->set_asker(this->context.values.advertise);
+        probe->set_epoch(this->my_epoch);
+        this->context.send(helper.row.address(), std::move(message));
+        if (++asked == helpers_asked)
+        {
+            break;
+        }
+    }
+}
+
+void cell_lead::lose_member(const core::worker_id& id, member& known, core::instant now)
+{
+    known.phase = member_phase::lost;
+    known.reported_whole = true;
+    known.probed_until.reset();
+    support::log::warn(
+        component, "worker lost",
+        {{"agent", id.str()}, {"silent_ms", std::to_string((now - known.heard).count())}});
+    this->context.figures.count("workers_lost", this->cell);
+    this->scheduler.worker_lost(id);
+    for (auto& [job_id, job] : this->jobs)
+    {
+        if (job.driver != nullptr)
+        {
+            job.driver->worker_lost(id, now);
+        }
+    }
+}
+
+void cell_lead::send_fence(member& to)
+{
+    wire::envelope message;
+    wire::fence* fence = message.mutable_fencing();
+    fence->set_epoch(this->my_epoch);
+    fence->set_cell(this->cell);
+    fence->set_lead(this->context.values.name);
+    this->context.send(to.row.address(), std::move(message));
+}
+
+void cell_lead::tell_config(const member& to)
+{
+    wire::envelope message;
+    wire::config_notice* notice = message.mutable_config_news();
+    notice->set_version(this->config.head().version());
+    notice->set_preset(this->config.head().preset_in_force());
+    this->context.send(to.row.address(), std::move(message));
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/cell_lead_takeover.cpp
@@ -0,0 +1,351 @@
+#include "chicorylift/core/error.hpp"
+#include "chicorylift/core/registry.hpp"
+#include "daemon/cell_lead.hpp"
+#include "support/log.hpp"
+#include "wire/convert.hpp"
+#include "wire/json.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// The lead's part that takes a cell over, and keeps in step with the table.
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+constexpr std::string_view component = "lead";
+constexpr core::milliseconds jobs_refresh_interval{5000};
+constexpr core::milliseconds config_refresh_interval{10000};
+constexpr core::milliseconds load_retry{500};
+
+} // namespace
+
+void cell_lead::load()
+{
+    static_cast<void>(this->store_requests.post(
+        [this]
+        {
+            const auto config_rows = this->context.table.list(std::string(config_prefix), 0);
+            const auto member_rows = this->context.table.list("member/" + this->cell + "/", 0);
+            const auto job_rows = this->context.table.list(this->job_prefix, 0);
+            const bool read = config_rows.ok() && member_rows.ok() && job_rows.ok();
+            if (!read)
+            {
+                std::this_thread::sleep_for(load_retry);
+            }
+            static_cast<void>(this->thread.post(
+                [this, read, config_rows, member_rows, job_rows]
+                {
+                    if (this->over)
+                    {
+                        return;
+                    }
+                    if (!read)
+                    {
+                        this->load();
+                        return;
+                    }
+                    this->take_members(*member_rows);
+                    this->take_config(to_delta(*config_rows, 0));
+                    this->take_jobs(*job_rows);
+                    this->loaded = true;
+                    this->last_active = core::boot_clock::now();
+                    this->fresh_config_at = core::boot_clock::now();
+                    this->fence_until = core::boot_clock::now() + this->context.values.heartbeat;
+                    for (auto& [id, known] : this->members)
+                    {
+                        this->send_fence(known);
+                    }
+                    support::log::info(component, "cell taken",
+                                       {{"cell", this->cell},
+                                        {"epoch", std::to_string(this->my_epoch)},
+                                        {"members", std::to_string(this->members.size())},
+                                        {"jobs", std::to_string(this->jobs.size())}});
+                }));
+        }));
+}
+
+void cell_lead::take_members(const wire::table_rows& listed)
+{
+    for (const wire::table_row& row : listed.rows())
+    {
+        wire::member_row found;
+        if (row.removed() || !wire::from_row(row.value(), found).ok())
+        {
+            continue;
+        }
+        const core::worker_id id(found.agent());
+        if (this->members.contains(id))
+        {
+            continue;
+        }
+        member& added = this->members[id];
+        added.row = found;
+        added.heard = core::boot_clock::now();
+        this->scheduler.worker_joined(wire::to_worker(found));
+    }
+}
+
+void cell_lead::take_jobs(const wire::table_rows& listed)
+{
+    for (const wire::table_row& row : listed.rows())
+    {
+        this->take_job_row(row);
+    }
+    this->jobs_version = std::max(this->jobs_version, listed.version());
+}
+
+void cell_lead::take_job_row(const wire::table_row& row)
+{
+    wire::job_row found;
+    if (row.removed() || !wire::from_row(row.value(), found).ok() ||
+        this->concluded.contains(found.id()))
+    {
+        return;
+    }
+    const auto known = this->jobs.find(found.id());
+    if (known != this->jobs.end())
+    {
+        driven_job& job = known->second;
+        if (row.version() <= job.row_version)
+        {
+            return;
+        }
+        job.row_version = row.version();
+        const bool newly_cancelled = found.cancel_requested() && !job.row.cancel_requested();
+        job.row.set_cancel_requested(found.cancel_requested());
+        if (newly_cancelled)
+        {
+            this->scheduler.cancel(core::job_id(found.id()));
+            if (job.driver == nullptr && !job.write_in_flight)
+            {
+                this->conclude(job, "cancelled", "cancelled before it started");
+            }
+        }
+        return;
+    }
+    if (found.state() != "accepted" && found.state() != "committed")
+    {
+        return;
+    }
+    driven_job& job = this->jobs[found.id()];
+    job.row = found;
+    job.row_version = row.version();
+    job.accepted = core::boot_clock::now();
+    if (found.state() == "committed")
+    {
+        job.resuming = true;
+        if (!this->fencing)
+        {
+            this->resume_job(job);
+        }
+        return;
+    }
+    if (found.cancel_requested())
+    {
+        this->conclude(job, "cancelled", "cancelled before it started");
+        return;
+    }
+    const auto spec =
+        wire::to_job_spec(found.request(), found.id(), found.organisation(), job.accepted);
+    if (!spec.ok())
+    {
+        this->conclude(job, "refused", std::string(spec.status().message()));
+        return;
+    }
+    this->scheduler.submit(*spec, job.accepted);
+}
+
+void cell_lead::take_config(const wire::config_delta& delta)
+{
+    if (!this->config.apply(delta))
+    {
+        return;
+    }
+    const auto terms = this->config.terms_in_force();
+    if (terms.ok())
+    {
+        this->scheduler.apply_terms(*terms, sched::policy_or_default(terms->weighting));
+    }
+    support::log::info(component, "configuration in force",
+                       {{"version", std::to_string(this->config.head().version())},
+                        {"preset", this->config.head().preset_in_force()}});
+    for (const auto& [id, known] : this->members)
+    {
+        this->tell_config(known);
+    }
+}
+
+void cell_lead::finish_fencing()
+{
+    this->fencing = false;
+    for (auto& [id, job] : this->jobs)
+    {
+        if (job.resuming && job.driver == nullptr)
+        {
+            this->resume_job(job);
+        }
+    }
+}
+
+void cell_lead::resume_job(driven_job& job)
+{
+    const core::instant now = core::boot_clock::now();
+    const auto spec =
+        wire::to_job_spec(job.row.request(), job.row.id(), job.row.organisation(), now);
+    if (!spec.ok())
+    {
+        this->conclude(job, "failed", std::string(spec.status().message()));
+        return;
+    }
+    job.placement = wire::to_kernel(job.row.placement());
+    this->scheduler.restore(*spec, job.placement, now);
+    job.driver = std::make_unique<gang::gang_driver>(
+        gang::gang_driver::resumed(job.placement, spec->checkpointable, this->gang_times(), now));
+    for (const sched::task_placement& placed : job.placement)
+    {
+        const auto known = this->members.find(placed.worker);
+        if (known == this->members.end() || known->second.phase == member_phase::lost)
+        {
+            job.driver->worker_lost(placed.worker, now);
+        }
+        else
+        {
+            // The member's whole report tells how its part stands.
+            known->second.ask_whole = true;
+            known->second.verify_parts = true;
+            this->send_fence(known->second);
+        }
+    }
+    if (job.row.cancel_requested())
+    {
+        this->scheduler.cancel(core::job_id(job.row.id()));
+    }
+    this->run_driver(job.row.id());
+}
+
+bool cell_lead::check_suspension()
+{
+    const core::instant now = core::boot_clock::now();
+    const core::milliseconds gap = now - std::exchange(this->last_active, now);
+    if (this->loaded && this->confirmed && gap > this->context.values.suspect_after / 2)
+    {
+        support::log::warn(component, "suspended; the epoch is looked up before anything is done",
+                           {{"gap_ms", std::to_string(gap.count())}});
+        this->confirmed = false;
+        this->next_confirmation = now;
+    }
+    if (!this->confirmed && !this->confirming && now >= this->next_confirmation)
+    {
+        this->confirm_epoch();
+    }
+    return this->confirmed;
+}
+
+void cell_lead::confirm_epoch()
+{
+    this->next_confirmation = core::boot_clock::now() + load_retry;
+    this->confirming = this->store_requests.post(
+        [this]
+        {
+            const auto lead = this->context.table.read(this->lead_key);
+            static_cast<void>(this->thread.post(
+                [this, lead]
+                {
+                    this->confirming = false;
+                    if (lead.ok() && lead->version() != this->lead_row_version)
+                    {
+                        this->step_down("the cell's row names another lead");
+                    }
+                    else if (lead.ok())
+                    {
+                        this->resume_after_confirmation();
+                    }
+                }));
+        });
+}
+
+void cell_lead::resume_after_confirmation()
+{
+    this->confirmed = true;
+    const core::instant now = core::boot_clock::now();
+    this->last_active = now;
+    for (auto& [id, known] : this->members)
+    {
+        // Their heartbeats may still wait to be read.
+        known.heard = std::max(known.heard, now);
+    }
+}
+
+void cell_lead::refresh_jobs()
+{
+    if (this->refreshing_jobs || !this->loaded)
+    {
+        return;
+    }
+    this->next_jobs_refresh = core::boot_clock::now() + jobs_refresh_interval;
+    const std::uint32_t after = this->jobs_version;
+    this->refreshing_jobs = this->store_requests.post(
+        [this, after]
+        {
+            const auto listed = this->context.table.list(this->job_prefix, after);
+            static_cast<void>(this->thread.post(
+                [this, listed]
+                {
+                    this->refreshing_jobs = false;
+                    if (listed.ok() && !this->over)
+                    {
+                        this->take_jobs(*listed);
+                        this->decide();
+                    }
+                }));
+        });
+}
+
+void cell_lead::refresh_config()
+{
+    if (this->refreshing_config)
+    {
+        return;
+    }
+    this->next_config_refresh = core::boot_clock::now() + config_refresh_interval;
+    const std::uint32_t after = this->config.table_version();
+    const std::uint32_t from = this->config.head().version();
+    this->refreshing_config = this->store_requests.post(
+        [this, after, from]
+        {
+            const auto listed = this->context.table.list(std::string(config_prefix), after);
+            const auto lead = this->context.table.read(this->lead_key);
+            static_cast<void>(this->thread.post(
+                [this, listed, lead, from]
+                {
+                    this->refreshing_config = false;
+                    if (lead.ok() && lead->version() != this->lead_row_version)
+                    {
+                        this->step_down("the cell's row names another lead");
+                        return;
+                    }
+                    if (listed.ok())
+                    {
+                        this->fresh_config_at = core::boot_clock::now();
+                        this->take_config(to_delta(*listed, from));
+                    }
+                }));
+        });
+}
+
+void cell_lead::step_down(const std::string& why)
+{
+    if (this->over.exchange(true))
+    {
+        return;
+    }
+    support::log::warn(
+        component, "stepping down",
+        {{"cell", this->cell}, {"epoch", std::to_string(this->my_epoch)}, {"reason", why}});
+    this->context.superseded();
+}
+
+} // namespace chicorylift::daemon
--- /dev/null
+++ b/src/daemon/entry_calls.cpp
@@ -0,0 +1,193 @@
+#include "chicorylift/core/error.hpp"
+#include "daemon/entry.hpp"
+#include "support/random_name.hpp"
+#include "wire/convert.hpp"
+#include "wire/json.hpp"
+
+#include <charconv>
+#include <utility>
+
+/// The entry's part that brings calls to upstreams and keeps claims of idempotency keys.
+namespace chicorylift::daemon
+{
+
+namespace
+{
+
+using core::error_kind;
+using core::make_error;
+
+constexpr core::milliseconds default_timeout{5000};
+constexpr std::int64_t longest_timeout_ms = 110'000;
+constexpr core::milliseconds write_patience{3000};
+// Above the router's own bound on a call that is being cancelled.
+constexpr core::milliseconds answer_margin{5000};
+constexpr std::size_t largest_kept_answer = 256U << 10U;
+
+absl::StatusOr<core::milliseconds> timeout_of(const net::server_request& request)
+{
+    const std::string text = request.header("X-Timeout-Ms");
+    if (text.empty())
+    {
+        return default_timeout;
+    }
+    std::int64_t count = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() || count < 1 ||
+        count > longest_timeout_ms)
+    {
+        return make_error(error_kind::invalid_request, "header X-Timeout-Ms is \"" + text +
+                                                           "\"; allowed are 1 to " +
+                                                           std::to_string(longest_timeout_ms));
+    }
+    return core::milliseconds{count};
+}
+
+net::server_response replayed(const wire::claim_row& claim)
+{
+    net::server_response response;
+    response.status = static_cast<int>(claim.status());
+    response.content_type = "application/octet-stream";
+    response.body = claim.body();
+    response.headers = {{"X-Request-Id", claim.request()}, {"X-Replayed", "true"}};
+    return response;
+}
+
+absl::Status claim_failure(const store::commit_result& result)
+{
+    return result.outcome == store::commit_outcome::unavailable
+               ? make_error(error_kind::store_unavailable, result.message)
+               // A claim whose fate is unknown stops later tries; the call itself did not run.
+               : make_error(error_kind::store_unavailable,
+                            "the claim of the key could not be settled: " + result.message);
+}
+
+} // namespace
+
+net::server_response entry::on_call(const net::server_request& request, const caller& who)
+{
+    if (who.organisation.empty())
+    {
+        return net::error_response(
+            make_error(error_kind::forbidden, "calls need an organisation's token"));
+    }
+    const std::string id = support::random_name();
+    const std::string key = request.header("Idempotency-Key");
+    if (key.empty())
+    {
+        return this->run_call(request, who, id);
+    }
+    const absl::Status named = wire::check_name("Idempotency-Key", key);
+    return named.ok() ? this->on_claimed_call(request, who, id, key)
+                      : net::error_response(named, id);
+}
+
+net::server_response entry::run_call(const net::server_request& request, const caller& who,
+                                     const std::string& id)
+{
+    const absl::Status named = wire::check_name("service", request.path[2]);
+    const auto timeout = timeout_of(request);
+    if (!named.ok() || !timeout.ok())
+    {
+        return net::error_response(named.ok() ? timeout.status() : named, id);
+    }
+    const core::instant begun = core::boot_clock::now();
+    route::call_spec call;
+    call.id = core::request_id(id);
+    call.organisation = core::organisation_id(who.organisation);
+    call.service = core::service_id(request.path[2]);
+    call.idempotent = request.header("X-Idempotent") == "true";
+    call.deadline = begun + *timeout;
+    call.body = request.body;
+    auto promise = std::make_shared<answer_promise>();
+    std::future<route::finish_call> future = promise->get_future();
+    const bool queued = this->routing->post(
+        [this, call, promise]
+        {
+            this->waiting[call.id.str()] = promise;
+            this->carry_out(this->router.submit(call, core::boot_clock::now()));
+        });
+    if (!queued)
+    {
+        return net::error_response(make_error(error_kind::queue_full, "the entry's ring is full"),
+                                   id);
+    }
+    if (future.wait_for(*timeout + answer_margin) != std::future_status::ready)
+    {
+        return net::error_response(
+            make_error(error_kind::outcome_unknown, "the router has not answered"), id);
+    }
+    route::finish_call finished = future.get();
+    const core::milliseconds took = core::boot_clock::now() - begun;
+    this->figures.observe("call", who.organisation, request.path[2], took);
+    this->figures.count("calls", finished.error.has_value() ? core::answer_for(*finished.error).name
+                                                            : "answered");
+    if (finished.error.has_value())
+    {
+        return net::error_response(make_error(*finished.error, finished.message), id);
+    }
+    net::server_response response;
+    response.status = finished.status;
+    response.content_type = "application/octet-stream";
+    response.body = std::move(finished.body);
+    response.headers.push_back({"X-Request-Id", id});
+    return response;
+}
+
+net::server_response entry::on_claimed_call(const net::server_request& request, const caller& who,
+                                            const std::string& id, const std::string& key)
+{
+    const std::string row_key = "claim/" + who.organisation + "/" + key;
+    wire::claim_row claim;
+    claim.set_request(id);
+    claim.set_entry(this->values.name);
+    claim.set_state("claimed");
+    wire::table_commit transaction = store::new_transaction();
+    store::add_write(transaction, row_key, 0, wire::to_row(claim));
+    const store::commit_result claimed =
+        store::commit_settled(*this->table, transaction, write_patience, [] { return false; });
+    if (claimed.outcome == store::commit_outcome::conflict)
+    {
+        wire::claim_row other;
+        static_cast<void>(wire::from_row(claimed.conflicting.value(), other));
+        if (other.state() == "answered")
+        {
+            return replayed(other);
+        }
+        return net::error_response(make_error(error_kind::outcome_unknown,
+                                              "key \"" + key + "\" is claimed by request " +
+                                                  other.request() +
+                                                  ", which runs or whose outcome is not known"),
+                                   other.request());
+    }
+    if (claimed.outcome != store::commit_outcome::applied)
+    {
+        return net::error_response(claim_failure(claimed), id);
+    }
+    net::server_response response = this->run_call(request, who, id);
+    wire::error_document error;
+    const bool failed = response.content_type == "application/json" &&
+                        wire::from_row(response.body, error).ok() && !error.error().empty();
+    wire::table_commit settling = store::new_transaction();
+    if (failed && error.work() == core::to_text(core::work_ran::no))
+    {
+        // It did not run, so the same key may be tried again.
+        store::add_removal(settling, row_key, claimed.version);
+    }
+    else if (!failed && response.body.size() <= largest_kept_answer)
+    {
+        claim.set_state("answered");
+        claim.set_status(static_cast<std::uint32_t>(response.status));
+        claim.set_body(response.body);
+        store::add_write(settling, row_key, claimed.version, wire::to_row(claim));
+    }
+    else
+    {
+        return response;
+    }
+    // If this is lost the key stays claimed, and a later try is told that the outcome is unknown.
+    static_cast<void>(this->table->commit(settling));
+    return response;
+}
+
+} // namespace chicorylift::daemon
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -82,6 +82,9 @@
         socket.connect(Poco::Net::SocketAddress(request.address),
                        to_poco(request.connect_patience));
         socket.setNoDelay(true);
+        // A session does not pass its timeout on to a socket that it is given.
+        socket.setSendTimeout(to_poco(request.answer_patience));
+        socket.setReceiveTimeout(to_poco(request.answer_patience));
     }
     catch (const Poco::Exception& fault)
     {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -230,6 +230,14 @@
     return this->inner->socket.address().toString();
 }
 
+server_response json_response(const google::protobuf::Message& document, int status)
+{
+    server_response answer;
+    answer.status = status;
+    answer.body = wire::to_json(document);
+    return answer;
+}
+
 server_response error_response(const absl::Status& error, const std::string& request)
 {
     const core::error_answer& row = core::answer_for(core::kind_of(error));
@@ -238,9 +246,7 @@
     document.set_message(std::string(error.message()));
     document.set_work(std::string(core::to_text(row.ran)));
     document.set_request(request);
-    server_response answer;
-    answer.status = row.http_status;
-    answer.body = wire::to_json(document);
+    server_response answer = json_response(document, row.http_status);
     constexpr int service_unavailable = 503;
     if (row.http_status == service_unavailable)
     {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -5,6 +5,7 @@
 
 #include <absl/status/status.h>
 #include <functional>
+#include <google/protobuf/message.h>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -68,6 +69,9 @@
     std::unique_ptr<implementation> inner;
 };
 
+/// @return an answer that holds the document as JSON.
+[[nodiscard]] server_response json_response(const google::protobuf::Message& document,
+                                            int status = 200);
 /// @return the answer that the error table gives to @p error, as a JSON document.
 [[nodiscard]] server_response error_response(const absl::Status& error,
                                              const std::string& request = {});
--- a/src/sched/cell_scheduler.cpp
+++ b/src/sched/cell_scheduler.cpp
@@ -2,6 +2,8 @@
 
 #include "cell_state.hpp"
 #include "chicorylift/core/error.hpp"
+#include "job_steps.hpp"
+#include "scheduling_pass.hpp"
 
 #include <algorithm>
 #include <array>
@@ -21,13 +23,6 @@
 constexpr core::milliseconds first_quarantine = std::chrono::seconds{30};
 constexpr std::int64_t most_quarantine_doublings = 6;
 constexpr std::int64_t most_failed_runs = 3;
-constexpr std::size_t placements_tried_per_pass = 64;
-
-job_entry* find_job(cell_state& cell, const core::job_id& id)
-{
-    const auto found = cell.jobs.find(id);
-    return found == cell.jobs.end() ? nullptr : found->second.get();
-}
 
 worker_state* find_worker(cell_state& cell, const core::worker_id& id)
 {
@@ -35,45 +30,6 @@
     return found == cell.worker_by_id.end() ? nullptr : &cell.workers[found->second];
 }
 
-void emit(cell_state& cell, decision_kind kind, const job_entry& job, stop_reason reason,
-          std::string detail)
-{
-    cell.pending.push_back({.kind = kind,
-                            .job = job.spec.id,
-                            .placement = placement_of(cell, job.placement),
-                            .reason = reason,
-                            .detail = std::move(detail)});
-}
-
-void stop_job(cell_state& cell, job_entry& job, stop_reason reason, std::string detail)
-{
-    job.phase = job_phase::stopping;
-    job.stopping_for = reason;
-    emit(cell, decision_kind::stop, job, reason, std::move(detail));
-}
-
-/// Starts the claimant once the last job that it displaced is gone.
-void victim_gone(cell_state& cell, job_entry& victim)
-{
-    job_entry* claimant = find_job(cell, std::exchange(victim.claimant, {}));
-    if (claimant == nullptr || claimant->phase != job_phase::waiting_for_reclaim)
-    {
-        return;
-    }
-    --claimant->victims_left;
-    if (claimant->victims_left == 0)
-    {
-        claimant->phase = job_phase::starting;
-        emit(cell, decision_kind::start, *claimant, stop_reason::none, "room reclaimed");
-    }
-}
-
-void remove_job(cell_state& cell, job_entry& job)
-{
-    victim_gone(cell, job);
-    cell.jobs.erase(core::job_id(job.spec.id));
-}
-
 void worker_failed(worker_state& worker, core::instant now)
 {
     ++worker.failures_in_row;
@@ -93,29 +49,6 @@
     worker.health = worker_health::healthy;
 }
 
-/// Forgets the jobs that were to stop for this one, so that their end starts nothing.
-void abandon_claim(cell_state& cell, job_entry& job)
-{
-    for (const core::job_id& displaced : job.displaced)
-    {
-        job_entry* victim = find_job(cell, displaced);
-        if (victim != nullptr && victim->claimant == job.spec.id)
-        {
-            victim->claimant = {};
-        }
-    }
-    job.victims_left = 0;
-}
-
-void requeue(cell_state& cell, job_entry& job)
-{
-    abandon_claim(cell, job);
-    job.stopping_for = stop_reason::none;
-    job.displaced.clear();
-    job.reason = wait_reason::not_considered;
-    enqueue(cell, job);
-}
-
 void end_quarantines(cell_state& cell, core::instant now)
 {
     for (worker_state& worker : cell.workers)
@@ -127,226 +60,6 @@
     }
 }
 
-bool over_limit(const cell_state& cell, const job_entry& job)
-{
-    const organisation_state& owner = cell.organisations[job.organisation];
-    return cell.policy->honours_guarantees && owner.limit.has_value() &&
-           !core::fits(owner.used + job.spec.total(), *owner.limit);
-}
-
-/// What two queued jobs share when one's lack of room answers for the other.
-struct tried_shape
-{
-    organisation_index organisation{};
-    core::resources per_task;
-    std::int64_t tasks{};
-    terms::adjacency within = terms::adjacency::zone;
-    bool reclaimable{};
-    bool urgent{};
-
-    friend bool operator==(const tried_shape&, const tried_shape&) = default;
-};
-
-tried_shape shape_tried_by(const job_entry& job)
-{
-    return {job.organisation, job.spec.per_task,      job.spec.tasks,
-            job.spec.within,  job.spec.reclaimable(), job.spec.urgency == job_class::urgent};
-}
-
-struct ordered_job
-{
-    job_entry* job = nullptr;
-    int rank{};
-    bool urgent = false;
-    double key{};
-};
-
-/// @return 0 for work inside its organisation's guarantee, 1 for other urgent work, else 2.
-int rank_of(const cell_state& cell, const job_entry& job)
-{
-    if (!cell.policy->urgent_first)
-    {
-        return 0;
-    }
-    const organisation_state& owner = cell.organisations[job.organisation];
-    if (core::fits(owner.used + job.spec.total(), owner.guaranteed))
-    {
-        return 0;
-    }
-    return job.spec.urgency == job_class::urgent ? 1 : 2;
-}
-
-/// @return the queue in the policy's order.
-std::vector<ordered_job> queue_order(const cell_state& cell, core::instant now)
-{
-    std::vector<ordered_job> order;
-    order.reserve(cell.queue.size());
-    for (job_entry* job : cell.queue)
-    {
-        order.push_back({job, rank_of(cell, *job), job->spec.urgency == job_class::urgent,
-                         cell.policy->queue_key(view_of(cell, *job, now))});
-    }
-    const bool heeds_urgency = cell.policy->urgent_first;
-    const auto before = [heeds_urgency](const ordered_job& left, const ordered_job& right)
-    {
-        if (left.rank != right.rank)
-        {
-            return left.rank < right.rank;
-        }
-        if (heeds_urgency && left.urgent != right.urgent)
-        {
-            return left.urgent;
-        }
-        if (heeds_urgency && left.urgent && left.job->spec.deadline != right.job->spec.deadline)
-        {
-            return left.job->spec.deadline.value_or(core::instant::max()) <
-                   right.job->spec.deadline.value_or(core::instant::max());
-        }
-        return left.key != right.key ? left.key < right.key
-                                     : left.job->spec.id < right.job->spec.id;
-    };
-    std::sort(order.begin(), order.end(), before);
-    return order;
-}
-
-void place(cell_state& cell, job_entry& job, std::vector<part> parts)
-{
-    dequeue(cell, job);
-    job.placement = std::move(parts);
-    job.kept_group.clear();
-    job.reason = wait_reason::none;
-    job.phase = job_phase::starting;
-    allocate(cell, job);
-}
-
-/// Places the job once the plan's victims have stopped.
-bool place_by_plan(cell_state& cell, job_entry& job, reclaim_plan plan)
-{
-    if (plan.parts.empty())
-    {
-        return false;
-    }
-    place(cell, job, std::move(plan.parts));
-    if (plan.victims.empty())
-    {
-        emit(cell, decision_kind::start, job, stop_reason::none, "inside its own guarantee");
-        return true;
-    }
-    job.phase = job_phase::waiting_for_reclaim;
-    job.reason = wait_reason::reclaim_in_progress;
-    job.victims_left = static_cast<std::int64_t>(plan.victims.size());
-    for (job_entry* victim : plan.victims)
-    {
-        job.displaced.push_back(victim->spec.id);
-        victim->claimant = job.spec.id;
-        stop_job(cell, *victim, stop_reason::reclaimed, "for job " + job.spec.id.str());
-    }
-    return true;
-}
-
-bool place_by_reclaim(cell_state& cell, job_entry& job, core::instant now)
-{
-    if (!cell.policy->honours_guarantees || !cell.reclaim_allowed)
-    {
-        return false;
-    }
-    if (place_by_plan(cell, job, plan_reclaim(cell, job, now)))
-    {
-        return true;
-    }
-    const bool may_move = cell.policy->may_consolidate != nullptr &&
-                          cell.policy->may_consolidate(view_of(cell, job, now));
-    if (!may_move)
-    {
-        return false;
-    }
-    reclaim_plan plan = plan_consolidation(cell, job, now);
-    for (job_entry* victim : plan.victims)
-    {
-        ++victim->moves;
-    }
-    return place_by_plan(cell, job, std::move(plan));
-}
-
-/// One pass over the queue.
-class scheduling_pass
-{
-public:
-    scheduling_pass(cell_state& cell, core::instant now) : cell(cell), now(now) {}
-
-    void run()
-    {
-        for (const ordered_job& next : queue_order(this->cell, this->now))
-        {
-            const bool settled = this->settle(*next.job);
-            if ((!settled && this->cell.policy->strict_order) ||
-                this->tried == placements_tried_per_pass)
-            {
-                return;
-            }
-        }
-    }
-
-private:
-    /// @return whether the job was placed or is held back by its own organisation's limit.
-    bool settle(job_entry& job)
-    {
-        if (over_limit(this->cell, job))
-        {
-            job.reason = wait_reason::organisation_limit;
-            return true;
-        }
-        const tried_shape shape = shape_tried_by(job);
-        if (std::find(this->failed.begin(), this->failed.end(), shape) != this->failed.end())
-        {
-            job.reason = wait_reason::no_room;
-            return false;
-        }
-        ++this->tried;
-        bool behind_reservation = false;
-        std::vector<part> parts =
-            find_room(this->cell, job, this->reservations, this->now, behind_reservation);
-        if (!parts.empty())
-        {
-            place(this->cell, job, std::move(parts));
-            emit(this->cell, decision_kind::start, job, stop_reason::none, "free room");
-            return true;
-        }
-        if (place_by_reclaim(this->cell, job, this->now))
-        {
-            return true;
-        }
-        job.reason = behind_reservation ? wait_reason::behind_reservation : wait_reason::no_room;
-        if (!behind_reservation)
-        {
-            this->failed.push_back(shape);
-        }
-        this->keep_room(job);
-        return false;
-    }
-
-    void keep_room(job_entry& job)
-    {
-        const auto held = static_cast<std::int64_t>(this->reservations.size());
-        if (held >= this->cell.policy->reservations ||
-            !this->cell.policy->may_reserve(view_of(this->cell, job, this->now)))
-        {
-            return;
-        }
-        std::optional<reservation> kept = reserve_room(this->cell, job, this->now);
-        if (kept.has_value())
-        {
-            this->reservations.push_back(*std::move(kept));
-        }
-    }
-
-    cell_state& cell;
-    core::instant now;
-    std::vector<reservation> reservations;
-    std::vector<tried_shape> failed;
-    std::size_t tried = 0;
-};
-
 } // namespace
 
 std::string_view to_text(decision_kind kind) noexcept
@@ -653,7 +366,7 @@
     }
     if (!cell.queue.empty())
     {
-        scheduling_pass(cell, now).run();
+        run_scheduling_pass(cell, now);
     }
     return std::exchange(cell.pending, {});
 }
--- /dev/null
+++ b/src/sched/job_steps.cpp
@@ -0,0 +1,90 @@
+#include "job_steps.hpp"
+
+#include <utility>
+
+namespace chicorylift::sched
+{
+
+job_entry* find_job(cell_state& cell, const core::job_id& id)
+{
+    const auto found = cell.jobs.find(id);
+    return found == cell.jobs.end() ? nullptr : found->second.get();
+}
+
+void emit(cell_state& cell, decision_kind kind, const job_entry& job, stop_reason reason,
+          std::string detail)
+{
+    cell.pending.push_back({.kind = kind,
+                            .job = job.spec.id,
+                            .placement = placement_of(cell, job.placement),
+                            .reason = reason,
+                            .detail = std::move(detail)});
+}
+
+void stop_job(cell_state& cell, job_entry& job, stop_reason reason, std::string detail)
+{
+    job.phase = job_phase::stopping;
+    job.stopping_for = reason;
+    emit(cell, decision_kind::stop, job, reason, std::move(detail));
+}
+
+void victim_gone(cell_state& cell, job_entry& victim)
+{
+    job_entry* claimant = find_job(cell, std::exchange(victim.claimant, {}));
+    if (claimant == nullptr || claimant->phase != job_phase::waiting_for_reclaim)
+    {
+        return;
+    }
+    --claimant->victims_left;
+    if (claimant->victims_left == 0)
+    {
+        claimant->phase = job_phase::starting;
+        emit(cell, decision_kind::start, *claimant, stop_reason::none, "room reclaimed");
+    }
+}
+
+void remove_job(cell_state& cell, job_entry& job)
+{
+    victim_gone(cell, job);
+    cell.jobs.erase(core::job_id(job.spec.id));
+}
+
+namespace
+{
+
+/// Forgets the jobs that were to stop for this one, so that their end starts nothing.
+void abandon_claim(cell_state& cell, job_entry& job)
+{
+    for (const core::job_id& displaced : job.displaced)
+    {
+        job_entry* victim = find_job(cell, displaced);
+        if (victim != nullptr && victim->claimant == job.spec.id)
+        {
+            victim->claimant = {};
+        }
+    }
+    job.victims_left = 0;
+}
+
+} // namespace
+
+void requeue(cell_state& cell, job_entry& job)
+{
+    abandon_claim(cell, job);
+    job.stopping_for = stop_reason::none;
+    job.displaced.clear();
+    job.reason = wait_reason::not_considered;
+    enqueue(cell, job);
+}
+
+void place(cell_state& cell, job_entry& job, std::vector<part> parts)
+{
+    dequeue(cell, job);
+    job.placement = std::move(parts);
+    job.kept_group.clear();
+    job.reason = wait_reason::none;
+    job.phase = job_phase::starting;
+    allocate(cell, job);
+}
+
+} // namespace chicorylift::sched
--- a/src/sched/policies.cpp
+++ b/src/sched/policies.cpp
@@ -162,4 +162,10 @@
 
 } // namespace
 
+const placement_policy& policy_or_default(std::string_view name) noexcept
+{
+    const placement_policy* found = core::registry<placement_policy>::instance().find(name);
+    return found != nullptr ? *found : completion;
+}
+
 } // namespace chicorylift::sched
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -144,4 +144,26 @@
                              "\n") == "");
 }
 
+TEST_CASE("killed agents come back as live members, whoever leads")
+{
+    site place({});
+    place.configure();
+    REQUIRE(place.wait_ready(ready_patience));
+    int missing = 0;
+    int not_replaced = 0;
+    for (int round = 0; round < 3; ++round)
+    {
+        const int lead = place.lead_index();
+        place.agent(lead).kill_now();
+        not_replaced +=
+            site::wait_until([&] { return place.lead_index() != lead; }, ready_patience) ? 0 : 1;
+        place.agent(lead).restart();
+        missing += place.wait_ready(ready_patience) ? 0 : 1;
+    }
+    CHECK(compare_golden("links-members-return",
+                         "leads not replaced: " + std::to_string(not_replaced) +
+                             "\nkilled agents that did not come back: " + std::to_string(missing) +
+                             "\n") == "");
+}
+
 } // namespace
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -2,6 +2,7 @@
 #include "support/site.hpp"
 #include "wire/json.hpp"
 
+#include <Poco/Net/ServerSocket.h>
 #include <csignal>
 #include <doctest/doctest.h>
 
@@ -73,4 +74,19 @@
     CHECK(core::kind_of(job.status()) == core::error_kind::never_runnable);
 }
 
+TEST_CASE("a peer that never answers costs no more than the patience")
+{
+    // A listener that accepts into its backlog and stays silent.
+    const Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1:0"));
+    net::client_request request;
+    request.address = silent.address().toString();
+    request.path = "/";
+    request.answer_patience = core::milliseconds{200};
+    const core::instant begun = core::boot_clock::now();
+    const auto answer = net::exchange(request);
+    CHECK(core::boot_clock::now() - begun < core::milliseconds{2000});
+    REQUIRE_FALSE(answer.ok());
+    CHECK(core::kind_of(answer.status()) == core::error_kind::outcome_unknown);
+}
+
 } // namespace
