--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -1,7 +1,6 @@
 #include "daemon/agent.hpp"
 
 #include "chicorylift/core/error.hpp"
-#include "chicorylift/core/registry.hpp"
 #include "support/log.hpp"
 #include "support/random_name.hpp"
 #include "wire/convert.hpp"
@@ -31,19 +30,12 @@
 constexpr core::milliseconds upstream_silent_after{5000};
 constexpr core::milliseconds first_look_spread{200};
 
-std::unique_ptr<store::table> open_table(const settings& values)
-{
-    return core::registry<store::table_adapter>::instance()
-        .find(values.table_adapter)
-        ->open(values.table_address);
-}
-
 } // namespace
 
 agent::agent(settings given)
     : values(std::move(given)), incarnation(support::random_name()),
-      table(open_table(this->values)), random(std::random_device{}()),
-      store_requests(store_threads, store_ring)
+      table(store::open_table(this->values.table_adapter, this->values.table_address)),
+      random(std::random_device{}()), store_requests(store_threads, store_ring)
 {
     this->calls =
         std::make_unique<agent_calls>(this->incarnation, this->values.call_threads,
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -1,7 +1,6 @@
 #include "daemon/entry.hpp"
 
 #include "chicorylift/core/error.hpp"
-#include "chicorylift/core/registry.hpp"
 #include "support/log.hpp"
 #include "support/random_name.hpp"
 #include "wire/convert.hpp"
@@ -25,13 +24,6 @@
 // Calls may run this much longer than their caller waits, while a cancellation settles.
 constexpr core::milliseconds patience_margin{200};
 
-std::unique_ptr<store::table> open_table(const settings& values)
-{
-    return core::registry<store::table_adapter>::instance()
-        .find(values.table_adapter)
-        ->open(values.table_address);
-}
-
 route::router_settings routing_settings(const settings& values)
 {
     route::router_settings chosen;
@@ -46,7 +38,8 @@
 
 entry::entry(settings given)
     : values(std::move(given)), incarnation(support::random_name()),
-      table(open_table(this->values)), router(routing_settings(this->values))
+      table(store::open_table(this->values.table_adapter, this->values.table_address)),
+      router(routing_settings(this->values))
 {
     this->operators = std::make_unique<entry_operators>(
         *this->table,
--- a/src/store/table.cpp
+++ b/src/store/table.cpp
@@ -1,6 +1,7 @@
 #include "store/table.hpp"
 
 #include "chicorylift/core/error.hpp"
+#include "chicorylift/core/registry.hpp"
 #include "support/random_name.hpp"
 
 #include <algorithm>
@@ -73,6 +74,11 @@
 
 } // namespace
 
+std::unique_ptr<table> open_table(const std::string& adapter, const std::string& address)
+{
+    return core::registry<table_adapter>::instance().find(adapter)->open(address);
+}
+
 commit_result commit_settled(table& target, const wire::table_commit& transaction,
                              core::milliseconds patience, const std::function<bool()>& give_up)
 {
--- a/src/store/table.hpp
+++ b/src/store/table.hpp
@@ -62,6 +62,10 @@
     std::unique_ptr<table> (*open)(const std::string& address);
 };
 
+/// Opens the table at @p address with the adapter of that name, which must exist.
+[[nodiscard]] std::unique_ptr<table> open_table(const std::string& adapter,
+                                                const std::string& address);
+
 /// Writes a transaction and settles what a lost answer leaves open.
 ///
 /// After a lost answer the first row is read back: the writer's token in it tells whether the
--- a/tests/gangs_test.cpp
+++ b/tests/gangs_test.cpp
@@ -100,6 +100,31 @@
     return options;
 }
 
+/// @return a worker of the job other than the lead's, which has sessions of its own, or -1.
+int follower_among(const site& place, const wire::job_document& job)
+{
+    const int lead = place.lead_index();
+    int follower = -1;
+    for (const auto& placed : job.placement())
+    {
+        const int index = placed.worker().back() - '0';
+        follower = index == lead ? follower : index;
+    }
+    return follower;
+}
+
+/// @return the number of the job's attempts of which some part has run.
+int attempts_run(const site& place, const std::string& job)
+{
+    constexpr int most_attempts = 9;
+    int count = 0;
+    for (int attempt = 1; attempt < most_attempts; ++attempt)
+    {
+        count += place.times_run("task", job + "/" + std::to_string(attempt)) > 0 ? 1 : 0;
+    }
+    return count;
+}
+
 std::int64_t now_ms()
 {
     return core::boot_clock::now().time_since_epoch().count();
@@ -116,13 +141,7 @@
                              job_patience));
     const auto running = place.job(0, job->id());
     REQUIRE(running.ok());
-    // Not the lead, which has sessions of its own.
-    int victim = -1;
-    for (const auto& placed : running->placement())
-    {
-        const int index = placed.worker().back() - '0';
-        victim = index == place.lead_index() ? victim : index;
-    }
+    const int victim = follower_among(place, *running);
     REQUIRE(victim >= 0);
     place.upstream(victim).kill_now();
     place.agent(victim).kill_now();
@@ -147,12 +166,7 @@
     REQUIRE(site::wait_until([&] { return place.times_run("task", job->id() + "/1") == 3; },
                              job_patience));
     const auto running = place.job(0, job->id());
-    int victim = -1;
-    for (const auto& placed : running->placement())
-    {
-        const int index = placed.worker().back() - '0';
-        victim = index == place.lead_index() ? victim : index;
-    }
+    const int victim = follower_among(place, *running);
     REQUIRE(victim >= 0);
     place.upstream(victim).kill_now();
     place.agent(victim).kill_now();
@@ -190,12 +204,7 @@
         place.platform_fault("delay_ms", "0");
         const std::string state = place.wait_job(job->id(), job_patience);
         const bool truthful = state == "succeeded" || state == "unknown";
-        int attempts = 0;
-        for (int attempt = 1; attempt < 9; ++attempt)
-        {
-            attempts +=
-                place.times_run("task", job->id() + "/" + std::to_string(attempt)) > 0 ? 1 : 0;
-        }
+        const int attempts = attempts_run(place, job->id());
         INFO("delay ", delay_ms, " state ", state, " attempts ", attempts);
         CHECK(compare_golden("gang-kill-lead",
                              std::string("job ended truthfully: ") + (truthful ? "yes" : "no") +
@@ -222,12 +231,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(1500));
         place.platform_fault(fault, "0");
         const std::string state = place.wait_job(job->id(), job_patience);
-        int attempts = 0;
-        for (int attempt = 1; attempt < 9; ++attempt)
-        {
-            attempts +=
-                place.times_run("task", job->id() + "/" + std::to_string(attempt)) > 0 ? 1 : 0;
-        }
+        const int attempts = attempts_run(place, job->id());
         INFO(fault);
         CHECK(compare_golden("gang-store-fault",
                              "job ended: " + state +
