--- a/benchmark/fleet.hpp
+++ b/benchmark/fleet.hpp
@@ -93,7 +93,7 @@
     std::string line(longest_line, '\0');
     while (std::fgets(line.data(), static_cast<int>(line.size()), listing) != nullptr)
     {
-        const std::string text(line.c_str());
+        const std::string text = line.substr(0, line.find('\0'));
         const std::size_t at = text.find("pid=");
         const bool ours = text.find("\"chicoryliftd\"") != std::string::npos;
         if (at == std::string::npos || !ours)
@@ -164,7 +164,7 @@
         return net::exchange(request);
     }
 
-    wire::status_document status() const
+    [[nodiscard]] wire::status_document status() const
     {
         wire::status_document document;
         const auto answer = this->ask("GET", "/v1/status");
@@ -176,7 +176,7 @@
     }
 
     /// @return members that are live and have @p version in force.
-    std::size_t members_with(std::uint32_t version) const
+    [[nodiscard]] std::size_t members_with(std::uint32_t version) const
     {
         std::size_t count = 0;
         const wire::status_document shown = this->status();
@@ -190,7 +190,8 @@
         return count;
     }
 
-    bool wait_members(std::size_t count, std::uint32_t version, core::milliseconds patience) const
+    [[nodiscard]] bool wait_members(std::size_t count, std::uint32_t version,
+                                    core::milliseconds patience) const
     {
         const core::instant limit = core::boot_clock::now() + patience;
         while (this->members_with(version) < count)
@@ -228,7 +229,7 @@
         return count;
     }
 
-    std::map<pid_t, usage> measure() const
+    [[nodiscard]] std::map<pid_t, usage> measure() const
     {
         std::map<pid_t, usage> all;
         const auto add = [&all](const process& one)
@@ -250,7 +251,7 @@
         return all;
     }
 
-    table_traffic traffic() const
+    [[nodiscard]] table_traffic traffic() const
     {
         net::client_request request;
         request.address = this->platform_address;
@@ -275,7 +276,7 @@
     }
 
     /// @return the index of the agent that leads the first cell.
-    std::size_t first_lead() const
+    [[nodiscard]] std::size_t first_lead() const
     {
         const wire::status_document shown = this->status();
         const std::string& name = shown.cells(0).lead();
@@ -325,7 +326,7 @@
 
     std::string start_agent(std::size_t index)
     {
-        const std::string http = free_address();
+        std::string http = free_address();
         const std::string name = "worker-" + std::to_string(index);
         std::vector<std::string> arguments = this->arguments("agent", name, http);
         arguments.insert(arguments.end(),
@@ -335,8 +336,8 @@
         return http;
     }
 
-    std::vector<std::string> arguments(const std::string& role, const std::string& name,
-                                       const std::string& http) const
+    [[nodiscard]] std::vector<std::string>
+    arguments(const std::string& role, const std::string& name, const std::string& http) const
     {
         return {binary("chicoryliftd"),
                 "--role",
--- a/src/daemon/cell_lead.cpp
+++ b/src/daemon/cell_lead.cpp
@@ -16,7 +16,6 @@
 namespace
 {
 
-constexpr std::string_view component = "lead";
 constexpr std::size_t lead_ring = 16384;
 constexpr core::milliseconds lead_tick{50};
 constexpr std::size_t store_threads = 2;
--- a/src/sched/cell_report.cpp
+++ b/src/sched/cell_report.cpp
@@ -85,7 +85,8 @@
 std::size_t bytes_of(const Container& items)
 {
     using item = typename Container::value_type;
-    return items.capacity() * sizeof(item);
+    // Also for containers of pointers: their slots are what is counted.
+    return items.capacity() * sizeof(item); // NOLINT(bugprone-sizeof-expression)
 }
 
 } // namespace
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -139,6 +139,7 @@
         const std::string prefix = kind + "-" + std::to_string(++this->batches) + "-";
         std::atomic<int> next = 0;
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int caller = 0; caller < callers; ++caller)
         {
             threads.emplace_back(
