--- /dev/null
+++ b/include/chicorylift/batch/election.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "chicorylift/core/time.hpp"
+
+#include <cstdint>
+
+namespace chicorylift::batch
+{
+
+/// Times of an election.
+struct election_settings
+{
+    /// Silence after which a lead is suspected.
+    core::milliseconds suspect_after{1300};
+    /// How long others are given to say that they hear the lead.
+    core::milliseconds probe_time{250};
+    /// Pause of a member that no other member answers, so that one that is cut off does not take
+    /// the lead again and again; doubles up to the longest.
+    core::milliseconds first_isolated_pause{3000};
+    core::milliseconds longest_isolated_pause{24000};
+    /// Own offset, so that not all stand at once.
+    core::milliseconds jitter{};
+};
+
+/// What a member should do next.
+enum class election_step
+{
+    nothing,
+    /// Ask the others whether they hear the lead.
+    probe,
+    /// Write the next epoch into the lead's row.
+    stand,
+};
+
+/// Decides when a member stands for lead; safety comes from the conditional write, not from here.
+class election
+{
+public:
+    election(election_settings settings, core::instant start);
+
+    /// Takes in word from the lead of the newest known epoch.
+    void on_lead_heard(core::instant now);
+    /// The lead said that it stops or does not lead, or its process is gone.
+    void on_lead_gone(core::instant now);
+    /// Takes in another member's answer to the probe.
+    void on_probe_answer(bool hears_lead, core::instant now);
+    /// The attempt to stand ended without success.
+    void on_stand_failed(core::instant now);
+
+    /// @param others whether other members are known.
+    [[nodiscard]] election_step tick(bool others, core::instant now);
+    /// @return whether the lead was heard within the time of suspicion.
+    [[nodiscard]] bool hears_lead(core::instant now) const noexcept;
+
+private:
+    election_settings settings;
+    core::instant heard;
+    core::instant not_before{};
+    core::instant probe_ends{};
+    bool probing = false;
+    bool standing = false;
+    bool known_gone = false;
+    bool answered = false;
+    bool refuted = false;
+    core::milliseconds isolated_pause;
+    core::instant isolated_since{};
+};
+
+} // namespace chicorylift::batch
--- /dev/null
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -0,0 +1,245 @@
+#pragma once
+
+#include "chicorylift/batch/job.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicorylift::batch
+{
+
+/// Name of an agent, and so of the place that its worker has.
+using agent_id = core::text_id<struct agent_tag>;
+
+/// What an agent knows of its worker.
+struct worker_info
+{
+    core::worker_id id;
+    /// Start of the worker's present life; another value means that it forgot everything.
+    unix_time born{};
+    core::service_id service;
+    amount capacity;
+    std::vector<std::string> labels;
+    core::rack_id rack;
+    core::zone_id zone;
+    /// The worker is leaving and gets nothing new.
+    bool draining = false;
+    /// The worker has announced itself, so that the fields above hold.
+    bool announced = false;
+    /// The worker does not answer its agent.
+    bool gone = false;
+};
+
+/// Phase of one unit's run on a worker.
+enum class run_phase
+{
+    /// Ordered and not confirmed; it may begin at any moment.
+    starting,
+    running,
+    stopping,
+};
+
+/// One unit's run as an agent reports it.
+struct reported_run
+{
+    unit_key unit;
+    run_number run{};
+    run_phase phase = run_phase::starting;
+    std::string checkpoint;
+    /// Share of the work that is done, in percent.
+    std::int64_t percent{};
+};
+
+/// How a run ended.
+enum class end_kind
+{
+    done,
+    failed,
+    stopped,
+    lapsed,
+    /// Another member of the gang ended.
+    broken,
+    /// The other members of the gang did not come in time.
+    alone,
+    /// The worker refused it, or a stop came first.
+    never_started,
+};
+
+/// @return the kind's name.
+[[nodiscard]] std::string_view to_text(end_kind kind) noexcept;
+
+/// End of a run as an agent reports it.
+struct reported_end
+{
+    /// Position in the worker's list; 0 for a run that never started.
+    std::uint64_t number{};
+    unit_key unit;
+    run_number run{};
+    end_kind kind = end_kind::stopped;
+    std::string checkpoint;
+    /// Why a start was refused.
+    std::string reason;
+};
+
+/// One report of an agent.
+struct worker_report
+{
+    agent_id agent;
+    worker_info worker;
+    /// The lists were read from the worker under the scheduler's epoch, and are complete.
+    bool lists_valid = false;
+    std::vector<reported_run> runs;
+    std::vector<reported_end> ends;
+    /// The agent's process is about to end; its worker goes on.
+    bool leaving = false;
+};
+
+/// State of a job as it is written.
+enum class job_outcome
+{
+    open,
+    completed,
+    failed,
+};
+
+/// Units of one step of one occurrence that have ended well; all of them when empty.
+struct done_units
+{
+    std::int64_t occurrence{};
+    std::int64_t step{};
+    std::vector<std::int64_t> units;
+};
+
+/// Run that counts against a unit's or gang's attempts.
+struct failed_run
+{
+    std::int64_t occurrence{};
+    std::int64_t step{};
+    /// The first unit stands for a gang.
+    std::int64_t unit{};
+    run_number run{};
+};
+
+/// What must survive the scheduler's process.
+struct job_progress
+{
+    job_outcome outcome = job_outcome::open;
+    std::vector<done_units> done;
+    std::vector<failed_run> failed;
+    /// Agents whose workers may have run a unit of the job.
+    std::set<agent_id> agents;
+};
+
+/// Order for one agent.
+struct order
+{
+    enum class action
+    {
+        start,
+        stop,
+    };
+    action what = action::start;
+    agent_id agent;
+    unit_key unit;
+    run_number run{};
+    /// Payload and checkpoint of a start.
+    std::string payload;
+    std::string checkpoint;
+};
+
+/// Decision, for the log.
+struct decision_record
+{
+    /// Name from the list of events in docs/OPERATIONS.md.
+    std::string_view event;
+    core::job_id job;
+    std::string detail;
+};
+
+/// Bounds of a scheduler.
+struct scheduler_settings
+{
+    /// Epoch of the lead; run numbers begin with it, so that later leads' are higher.
+    std::uint64_t epoch = 1;
+    /// Time from an agent's report until its worker has dropped everything at the latest, counted
+    /// from the lead's last answer; covers clocks that are slow.
+    core::milliseconds lapse = std::chrono::milliseconds{6200};
+    /// An order without an answer is sent again after this long.
+    core::milliseconds resend = std::chrono::milliseconds{800};
+    /// Factor on the duration of work away from its rack.
+    double remote_factor = 3;
+    /// Longest wait for the rack that holds the data or the gang.
+    core::milliseconds rack_patience = std::chrono::milliseconds{2000};
+};
+
+/// Places the jobs of one site on its workers; owns no thread, socket or clock.
+///
+/// Answers bursts of small and large gangs, reclaims of guarantees, workers that vanish, fail or
+/// stall, and cancellations.
+class site_scheduler
+{
+public:
+    /// @param takeover when this lead took over; silent agents' work counts as alive until
+    ///        a lapse later.
+    site_scheduler(scheduler_settings settings, core::instant takeover);
+    ~site_scheduler();
+    site_scheduler(const site_scheduler&) = delete;
+    site_scheduler& operator=(const site_scheduler&) = delete;
+
+    /// Sets the terms of all queues and the accelerators guaranteed to organisations.
+    void set_terms(std::map<queue_id, queue_terms> queues,
+                   std::map<core::organisation_id, std::int64_t> guaranteed);
+    /// Takes in an accepted job with what is already known of it.
+    void add_job(job_spec job, const job_progress& progress, bool cancelled, core::instant now);
+    /// Stops a job's units and starts no more.
+    void cancel_job(const core::job_id& job);
+    /// Forgets an ended job.
+    void forget_job(const core::job_id& job);
+    /// Makes an agent known that has not reported yet.
+    void add_agent(const agent_id& agent);
+    /// Takes every job as possibly running on every agent that has not reported; for a takeover
+    /// from a lead that started work without writing where.
+    void distrust_written_agents();
+
+    /// Takes in an agent's report.
+    void on_report(const worker_report& report, core::instant now);
+    /// Notes that a lease renewal was sent to an agent.
+    void on_renewal_sent(const agent_id& agent, core::instant now);
+
+    /// Decides what to do now.
+    /// @param store_lost starts no longer wait until their agents are written.
+    [[nodiscard]] std::vector<order> decide(core::instant now, unix_time today, bool store_lost);
+
+    /// Number of a job's latest change that must be written; 0 when there is none.
+    [[nodiscard]] std::uint64_t unwritten_change(const core::job_id& job) const;
+    /// @return jobs with changes that are not written, final outcomes first.
+    [[nodiscard]] std::vector<core::job_id> unwritten_jobs() const;
+    /// @return what to write for a job.
+    [[nodiscard]] job_progress progress_of(const core::job_id& job) const;
+    /// @return whether the job's final outcome or its next start waits for the write.
+    [[nodiscard]] bool is_write_urgent(const core::job_id& job) const;
+    /// Notes that a job's changes up to @p change are written.
+    void on_written(const core::job_id& job, std::uint64_t change);
+    /// @return the end up to which a worker may forget, with the worker's life.
+    [[nodiscard]] std::pair<unix_time, std::uint64_t> noted_ends(const agent_id& agent) const;
+
+    /// @return the present state; cancelled jobs count as open until their units are gone.
+    [[nodiscard]] std::optional<job_outcome> outcome_of(const core::job_id& job) const;
+    /// @return runs that hold room, over all workers.
+    [[nodiscard]] std::size_t open_runs() const noexcept;
+    /// @return units that could run now and do not.
+    [[nodiscard]] std::size_t waiting_units() const noexcept;
+    /// Takes the decisions since the last call, for the log.
+    [[nodiscard]] std::vector<decision_record> take_records();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> inner;
+};
+
+} // namespace chicorylift::batch
--- /dev/null
+++ b/src/batch/job.cpp
@@ -0,0 +1,198 @@
+#include "chicorylift/batch/job.hpp"
+
+#include "chicorylift/core/error.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace chicorylift::batch
+{
+
+namespace
+{
+
+using core::error_kind;
+using core::make_error;
+
+constexpr std::size_t most_steps = 1000;
+
+absl::Status invalid(std::size_t step, const std::string& what)
+{
+    return make_error(error_kind::invalid_request, "step " + std::to_string(step) + ": " + what);
+}
+
+absl::Status check_step(const step_spec& step, std::size_t number)
+{
+    if (step.units < 1 || step.units > most_units)
+    {
+        return invalid(number, "the number of units is " + std::to_string(step.units));
+    }
+    const amount& need = step.per_unit;
+    if (need.millicores < 0 || need.memory_mb < 0 || need.accelerators < 0)
+    {
+        return invalid(number, "a unit's need is negative");
+    }
+    for (const std::int64_t earlier : step.after)
+    {
+        if (earlier < 0 || earlier >= static_cast<std::int64_t>(number))
+        {
+            return invalid(number, "it follows step " + std::to_string(earlier) +
+                                       ", which does not come earlier");
+        }
+    }
+    return absl::OkStatus();
+}
+
+bool parse_number(std::string_view text, std::int64_t& value)
+{
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    return parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() && value >= 0;
+}
+
+} // namespace
+
+amount& operator+=(amount& left, const amount& right) noexcept
+{
+    left.millicores += right.millicores;
+    left.memory_mb += right.memory_mb;
+    left.accelerators += right.accelerators;
+    return left;
+}
+
+amount& operator-=(amount& left, const amount& right) noexcept
+{
+    left.millicores -= right.millicores;
+    left.memory_mb -= right.memory_mb;
+    left.accelerators -= right.accelerators;
+    return left;
+}
+
+amount operator*(const amount& each, std::int64_t times) noexcept
+{
+    return {each.millicores * times, each.memory_mb * times, each.accelerators * times};
+}
+
+bool fits(const amount& need, const amount& room) noexcept
+{
+    return need.millicores <= room.millicores && need.memory_mb <= room.memory_mb &&
+           need.accelerators <= room.accelerators;
+}
+
+std::int64_t times_fitting(const amount& need, const amount& room, std::int64_t most) noexcept
+{
+    const auto bound = [&most](std::int64_t one, std::int64_t all)
+    {
+        if (all < 0 && one > 0)
+        {
+            most = 0;
+        }
+        else if (one > 0)
+        {
+            most = std::min(most, all / one);
+        }
+    };
+    bound(need.millicores, room.millicores);
+    bound(need.memory_mb, room.memory_mb);
+    bound(need.accelerators, room.accelerators);
+    return most;
+}
+
+std::string to_text(const unit_key& key)
+{
+    return key.job.str() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step) +
+           "." + std::to_string(key.index);
+}
+
+absl::StatusOr<unit_key> unit_key_from(std::string_view text)
+{
+    constexpr std::size_t numbers = 3;
+    std::array<std::int64_t, numbers> values{};
+    std::string_view rest = text;
+    bool valid = true;
+    for (std::size_t index = numbers; index > 0 && valid; --index)
+    {
+        const std::size_t dot = rest.rfind('.');
+        valid = dot != std::string_view::npos &&
+                parse_number(rest.substr(dot + 1), values[index - 1]);
+        rest = valid ? rest.substr(0, dot) : rest;
+    }
+    if (!valid || rest.empty())
+    {
+        return make_error(error_kind::invalid_request,
+                          "\"" + std::string(text) + "\" does not name a unit of work");
+    }
+    return unit_key{core::job_id(std::string(rest)), values[0], values[1], values[2]};
+}
+
+amount step_spec::room() const noexcept
+{
+    amount need = this->per_unit;
+    if (this->fills)
+    {
+        need.millicores = 0;
+    }
+    return need;
+}
+
+std::int64_t job_spec::rounds() const noexcept
+{
+    return std::max<std::int64_t>(1, this->occurrences);
+}
+
+core::milliseconds job_spec::longest_chain() const
+{
+    std::vector<core::milliseconds> until(this->steps.size());
+    core::milliseconds longest{};
+    for (std::size_t number = 0; number < this->steps.size(); ++number)
+    {
+        core::milliseconds begin{};
+        for (const std::int64_t earlier : this->steps[number].after)
+        {
+            begin = std::max(begin, until[static_cast<std::size_t>(earlier)]);
+        }
+        until[number] = begin + this->steps[number].estimate;
+        longest = std::max(longest, until[number]);
+    }
+    return longest;
+}
+
+std::int64_t job_spec::first_accelerators() const noexcept
+{
+    std::int64_t total = 0;
+    for (const step_spec& step : this->steps)
+    {
+        total += step.after.empty() ? step.units * step.per_unit.accelerators : 0;
+    }
+    return total;
+}
+
+absl::Status check_job(const job_spec& job)
+{
+    if (job.steps.empty() || job.steps.size() > most_steps)
+    {
+        return make_error(error_kind::invalid_request,
+                          "the job has " + std::to_string(job.steps.size()) +
+                              " steps; allowed are 1 to " + std::to_string(most_steps));
+    }
+    std::int64_t units = 0;
+    for (std::size_t number = 0; number < job.steps.size(); ++number)
+    {
+        absl::Status checked = check_step(job.steps[number], number);
+        if (!checked.ok())
+        {
+            return checked;
+        }
+        units += job.steps[number].units;
+    }
+    if (job.occurrences < 0 || job.interval.count() < 0 || units > most_units / job.rounds())
+    {
+        return make_error(error_kind::invalid_request,
+                          "the job has " + std::to_string(units) + " units in each of " +
+                              std::to_string(job.rounds()) + " rounds; at most " +
+                              std::to_string(most_units) + " are allowed");
+    }
+    return absl::OkStatus();
+}
+
+} // namespace chicorylift::batch
--- /dev/null
+++ b/src/batch/run_table.cpp
@@ -0,0 +1,240 @@
+#include "chicorylift/batch/run_table.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace chicorylift::batch
+{
+
+namespace
+{
+
+// A start is sent so many times before the run is barred instead.
+constexpr int most_start_tries = 2;
+constexpr core::milliseconds retry_pause{150};
+
+} // namespace
+
+std::optional<worker_action> run_table::on_start_order(const worker_action& start,
+                                                       core::instant now)
+{
+    const run_key key{start.unit, start.run};
+    if (this->entries.contains(key) || this->unstarted.contains(key))
+    {
+        return std::nullopt;
+    }
+    for (const reported_end& end : this->listed_ends)
+    {
+        if (end.unit == start.unit && end.run == start.run)
+        {
+            return std::nullopt;
+        }
+    }
+    entry& fresh = this->entries[key];
+    fresh.in_flight = true;
+    fresh.tries = 1;
+    fresh.payload = start.payload;
+    fresh.start_checkpoint = start.checkpoint;
+    fresh.retry_at = now;
+    worker_action action = start;
+    action.what = worker_action::kind::start;
+    return action;
+}
+
+std::optional<worker_action> run_table::on_stop_order(const run_key& key, core::instant now)
+{
+    if (this->unstarted.contains(key))
+    {
+        return std::nullopt;
+    }
+    entry& known = this->entries[key];
+    if (known.phase == run_phase::stopping)
+    {
+        return std::nullopt;
+    }
+    known.phase = run_phase::stopping;
+    known.in_flight = true;
+    known.retry_at = now;
+    return worker_action{worker_action::kind::stop, key.first, key.second, {}, {}};
+}
+
+void run_table::on_start_answer(const run_key& key, start_answer answer,
+                                const std::string& reason, core::instant now)
+{
+    const auto found = this->entries.find(key);
+    if (found == this->entries.end())
+    {
+        return;
+    }
+    entry& known = found->second;
+    if (known.phase == run_phase::stopping)
+    {
+        // The stop that followed decides.
+        return;
+    }
+    known.in_flight = false;
+    switch (answer)
+    {
+    case start_answer::accepted:
+        known.phase = run_phase::running;
+        known.confirmed = true;
+        known.confirmed_at = now;
+        break;
+    case start_answer::refused:
+    case start_answer::unavailable:
+        if (known.tries == 1)
+        {
+            this->never_started(key, reason);
+            break;
+        }
+        // An earlier try has no answer, so that its run must be barred first.
+        known.phase = run_phase::stopping;
+        known.retry_at = now;
+        break;
+    case start_answer::unknown:
+        if (known.tries >= most_start_tries)
+        {
+            known.phase = run_phase::stopping;
+        }
+        known.retry_at = now;
+        break;
+    }
+}
+
+void run_table::on_stop_answer(const run_key& key, bool acknowledged, core::instant now)
+{
+    const auto found = this->entries.find(key);
+    if (found == this->entries.end() || found->second.phase != run_phase::stopping)
+    {
+        return;
+    }
+    found->second.in_flight = false;
+    found->second.stop_acknowledged = acknowledged || found->second.stop_acknowledged;
+    found->second.confirmed_at = now;
+    found->second.retry_at = now + retry_pause;
+}
+
+bool run_table::on_lists(const std::vector<reported_run>& running,
+                         const std::vector<reported_end>& ended, core::instant asked,
+                         core::instant now)
+{
+    bool changed = false;
+    std::set<run_key> present;
+    for (const reported_run& each : running)
+    {
+        const run_key key{each.unit, each.run};
+        present.insert(key);
+        entry& known = this->entries[key];
+        changed = changed || !known.confirmed;
+        if (!known.confirmed)
+        {
+            known.confirmed_at = now;
+            known.confirmed = true;
+        }
+        if (known.phase == run_phase::starting)
+        {
+            known.phase = run_phase::running;
+            known.in_flight = false;
+        }
+        known.checkpoint = each.checkpoint;
+        known.percent = each.percent;
+    }
+    for (const reported_end& end : ended)
+    {
+        const bool is_new =
+            std::none_of(this->listed_ends.begin(), this->listed_ends.end(),
+                         [&end](const reported_end& old) { return old.number == end.number; });
+        changed = changed || is_new;
+        present.insert({end.unit, end.run});
+        this->entries.erase({end.unit, end.run});
+        this->unstarted.erase({end.unit, end.run});
+    }
+    this->listed_ends = ended;
+    std::vector<run_key> gone;
+    for (const auto& [key, known] : this->entries)
+    {
+        // Lists that were asked for before the worker's word are too old to speak of the run.
+        const bool settled = known.phase == run_phase::stopping
+                                 ? known.stop_acknowledged && !known.in_flight
+                                 : known.confirmed;
+        if (!present.contains(key) && settled && asked > known.confirmed_at)
+        {
+            gone.push_back(key);
+        }
+    }
+    for (const run_key& key : gone)
+    {
+        this->never_started(key, "barred");
+        changed = true;
+    }
+    return changed;
+}
+
+void run_table::on_worker_restarted()
+{
+    this->entries.clear();
+    this->listed_ends.clear();
+    this->unstarted.clear();
+}
+
+void run_table::on_settled(const run_key& key)
+{
+    this->unstarted.erase(key);
+}
+
+std::vector<worker_action> run_table::due(core::instant now)
+{
+    std::vector<worker_action> actions;
+    for (auto& [key, known] : this->entries)
+    {
+        const bool unanswered =
+            known.phase == run_phase::starting ||
+            (known.phase == run_phase::stopping && !known.stop_acknowledged);
+        if (!unanswered || known.in_flight || known.retry_at > now)
+        {
+            continue;
+        }
+        known.in_flight = true;
+        ++known.tries;
+        const bool stop = known.phase == run_phase::stopping;
+        actions.push_back({stop ? worker_action::kind::stop : worker_action::kind::start,
+                           key.first, key.second, stop ? std::string{} : known.payload,
+                           stop ? std::string{} : known.start_checkpoint});
+    }
+    return actions;
+}
+
+std::vector<reported_run> run_table::runs() const
+{
+    std::vector<reported_run> list;
+    for (const auto& [key, known] : this->entries)
+    {
+        list.push_back({key.first, key.second, known.phase, known.checkpoint, known.percent});
+    }
+    return list;
+}
+
+std::vector<reported_end> run_table::ends() const
+{
+    std::vector<reported_end> list = this->listed_ends;
+    for (const auto& [key, reason] : this->unstarted)
+    {
+        list.push_back({0, key.first, key.second, end_kind::never_started, {}, reason});
+    }
+    return list;
+}
+
+bool run_table::has_open_orders() const noexcept
+{
+    return std::any_of(this->entries.begin(), this->entries.end(), [](const auto& each)
+                       { return !each.second.confirmed ||
+                                each.second.phase == run_phase::stopping; });
+}
+
+void run_table::never_started(const run_key& key, const std::string& reason)
+{
+    this->entries.erase(key);
+    this->unstarted[key] = reason;
+}
+
+} // namespace chicorylift::batch
--- /dev/null
+++ b/src/batch/scheduler_impl.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "batch/placing.hpp"
+#include "batch/site_state.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+/// The scheduler's parts: news, ends of runs, and the pass that places.
+namespace chicorylift::batch
+{
+
+struct site_scheduler::implementation
+{
+    implementation(scheduler_settings settings, core::instant takeover)
+        : settings(settings), takeover(takeover)
+    {
+    }
+
+    // News from agents (scheduler_reports.cpp).
+    void on_report(const worker_report& report, core::instant now);
+    void take_info(worker_state& worker, const worker_report& report, core::instant now);
+    void take_end(worker_state& worker, const reported_end& end, core::instant now);
+    void take_end_of_known_run(run_state& run, member_state& member, const reported_end& end,
+                               core::instant now);
+    void take_end_of_unknown_run(worker_state& worker, job_state& job, const reported_end& end);
+    void take_run(worker_state& worker, const reported_run& reported, core::instant now);
+    void adopt(worker_state& worker, const reported_run& reported, core::instant now);
+    void note_missing(worker_state& worker, const std::set<std::pair<run_number, std::int64_t>>&,
+                      bool reborn, core::instant now);
+    void settle(worker_state& worker);
+    void lose_worker(worker_state& worker, std::string_view why, core::instant now);
+
+    // Ends of runs (scheduler_runs.cpp).
+    void end_member(run_state& run, member_state& member, end_kind kind,
+                    const std::string& checkpoint, const agent_id& agent, core::instant now);
+    void mark_done(job_state& job, run_state& run, member_state& member);
+    void mark_unit_done(job_state& job, std::int64_t occurrence, std::int64_t step,
+                        std::int64_t index);
+    void mark_failed(job_state& job, std::int64_t occurrence, std::int64_t step,
+                     std::int64_t index, run_number run, const agent_id& agent);
+    void record_success(const agent_id& agent);
+    void record_failure(const agent_id& agent, core::instant now);
+    void close_if_ended(run_number run, core::instant now);
+    void stop_run(run_state& run, std::string_view why);
+    void stop_job(const core::job_id& job, std::string_view why);
+    void check_completed(job_state& job);
+    void touch(job_state& job) { ++job.change; }
+
+    // The pass (scheduling in scheduler_pass.cpp).
+    std::vector<order> decide(core::instant now, unix_time today, bool store_lost);
+    void expire_workers(core::instant now);
+    void check_stalled(core::instant now);
+    void settle_gangs(core::instant now);
+    void open_due_occurrences(job_state& job, unix_time today);
+    std::vector<work_group> ready_groups(core::instant now, unix_time today);
+    void rank(work_group& group, core::instant now) const;
+    void place(std::vector<work_group>& groups, core::instant now);
+    bool place_group(const work_group& group, std::map<agent_id, amount>& available,
+                     core::instant now);
+    void reclaim_for(const work_group& group, std::map<agent_id, amount>& available,
+                     core::instant now);
+    void begin_run(const work_group& group, const std::vector<unit_placement>& placements,
+                   core::instant now);
+    void issue_orders(std::vector<order>& orders, core::instant now, bool store_lost);
+    std::vector<worker_room> rooms_for(const work_group& group,
+                                       const std::map<agent_id, amount>& available,
+                                       core::instant now) const;
+    std::vector<victim> victims_for(const work_group& group, core::instant now) const;
+    std::map<agent_id, amount> free_room() const;
+    bool may_place_on(const worker_state& worker, const job_state& job, const step_spec& step,
+                      core::instant now) const;
+    placing_rules rules_for(const work_group& group, core::instant now) const;
+    bool fits_one_rack(const work_group& group) const;
+    bool is_guaranteed(const job_state& job) const;
+
+    const step_spec& spec_of(const work_group& group) const;
+    void record(std::string_view event, const core::job_id& job, std::string detail);
+
+    scheduler_settings settings;
+    core::instant takeover;
+    std::uint64_t next_run = 1;
+    bool distrust = false;
+    std::map<queue_id, queue_terms> queues;
+    std::map<core::organisation_id, std::int64_t> guaranteed;
+    std::map<core::job_id, job_state> jobs;
+    std::map<run_number, run_state> runs;
+    std::map<agent_id, worker_state> workers;
+    std::set<core::job_id> unwritten;
+    std::size_t waiting{};
+    std::vector<decision_record> records;
+};
+
+} // namespace chicorylift::batch
--- /dev/null
+++ b/src/batch/scheduler_runs.cpp
@@ -0,0 +1,251 @@
+#include "batch/scheduler_impl.hpp"
+
+#include <algorithm>
+#include <array>
+
+/// What the end of a run means for its unit, gang, job and worker.
+namespace chicorylift::batch
+{
+
+namespace
+{
+
+// A refused start is tried again after this pause, so that a full worker is not asked in a loop.
+constexpr core::milliseconds refused_pause{150};
+// Failures of different jobs in a row after which a worker gets nothing for a while.
+constexpr std::int64_t suspicious_failures = 2;
+constexpr core::milliseconds longest_distrust{16000};
+
+std::size_t at(std::int64_t index)
+{
+    return static_cast<std::size_t>(index);
+}
+
+} // namespace
+
+std::string_view to_text(end_kind kind) noexcept
+{
+    constexpr std::array<std::string_view, 7> names{
+        "done", "failed", "stopped", "lapsed", "broken", "alone", "never_started"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+void site_scheduler::implementation::record(std::string_view event, const core::job_id& job,
+                                            std::string detail)
+{
+    this->records.push_back({event, job, std::move(detail)});
+}
+
+void site_scheduler::implementation::end_member(run_state& run, member_state& member,
+                                                end_kind kind, const std::string& checkpoint,
+                                                const agent_id& agent, core::instant now)
+{
+    member.ended = true;
+    if (!checkpoint.empty())
+    {
+        member.checkpoint = checkpoint;
+    }
+    const auto found = this->jobs.find(run.job);
+    if (found != this->jobs.end())
+    {
+        job_state& job = found->second;
+        unit_state& unit =
+            job.occurrences[run.occurrence][at(run.step)].units[at(member.index)];
+        if (!member.checkpoint.empty())
+        {
+            unit.checkpoint = member.checkpoint;
+        }
+        if (kind == end_kind::lapsed)
+        {
+            unit.given_up.insert(run.number);
+        }
+        if (kind == end_kind::done)
+        {
+            this->mark_done(job, run, member);
+            this->record_success(agent);
+        }
+        else if (kind == end_kind::failed)
+        {
+            this->mark_failed(job, run.occurrence, run.step, run.gang ? 0 : member.index,
+                              run.number, agent);
+            this->record_failure(agent, now);
+        }
+        else if (kind == end_kind::never_started)
+        {
+            unit.not_before = now + refused_pause;
+        }
+    }
+    // What is left of a gang must not go on without the member, nor wait for it.
+    if (run.gang && kind != end_kind::done)
+    {
+        this->stop_run(run, to_text(kind));
+    }
+}
+
+void site_scheduler::implementation::mark_done(job_state& job, run_state& run,
+                                               member_state& member)
+{
+    if (!run.gang)
+    {
+        this->mark_unit_done(job, run.occurrence, run.step, member.index);
+        return;
+    }
+    // A gang's members end well together, so that one end stands for all.
+    const auto count = job.spec.steps[at(run.step)].units;
+    for (std::int64_t index = 0; index < count; ++index)
+    {
+        this->mark_unit_done(job, run.occurrence, run.step, index);
+    }
+}
+
+void site_scheduler::implementation::mark_unit_done(job_state& job, std::int64_t occurrence,
+                                                    std::int64_t step, std::int64_t index)
+{
+    step_state& state = job.occurrences[occurrence][at(step)];
+    unit_state& unit = state.units[at(index)];
+    if (unit.done || job.spec.steps[at(step)].long_running)
+    {
+        return;
+    }
+    unit.done = true;
+    ++state.done;
+    this->touch(job);
+    this->unwritten.insert(job.spec.id);
+    this->check_completed(job);
+}
+
+void site_scheduler::implementation::mark_failed(job_state& job, std::int64_t occurrence,
+                                                 std::int64_t step, std::int64_t index,
+                                                 run_number run, const agent_id& agent)
+{
+    unit_state& unit = job.occurrences[occurrence][at(step)].units[at(index)];
+    unit.failed_on.insert(agent);
+    if (!unit.failed.insert(run).second || job.spec.steps[at(step)].long_running)
+    {
+        return;
+    }
+    this->touch(job);
+    this->unwritten.insert(job.spec.id);
+    if (job.is_active() && static_cast<std::int64_t>(unit.failed.size()) >= job.terms.attempts)
+    {
+        job.outcome = job_outcome::failed;
+        this->record("job_failed", job.spec.id,
+                     "unit " + to_text(unit_key{job.spec.id, occurrence, step, index}) +
+                         " failed " + std::to_string(unit.failed.size()) + " times");
+        this->stop_job(job.spec.id, "the job has failed");
+    }
+}
+
+void site_scheduler::implementation::record_success(const agent_id& agent)
+{
+    const auto found = this->workers.find(agent);
+    if (found != this->workers.end())
+    {
+        found->second.record = {};
+    }
+}
+
+void site_scheduler::implementation::record_failure(const agent_id& agent, core::instant now)
+{
+    const auto found = this->workers.find(agent);
+    if (found == this->workers.end())
+    {
+        return;
+    }
+    worker_record& record = found->second.record;
+    ++record.failures;
+    if (record.failures >= suspicious_failures)
+    {
+        record.distrusted_until = now + record.next_distrust;
+        record.next_distrust = std::min(record.next_distrust * 2, longest_distrust);
+        this->record("worker_distrusted", {},
+                     agent.str() + " failed " + std::to_string(record.failures) +
+                         " units in a row");
+    }
+}
+
+void site_scheduler::implementation::close_if_ended(run_number number, core::instant now)
+{
+    const auto found = this->runs.find(number);
+    if (found == this->runs.end() || !found->second.has_ended())
+    {
+        return;
+    }
+    run_state run = std::move(found->second);
+    this->runs.erase(found);
+    const auto job = this->jobs.find(run.job);
+    if (job == this->jobs.end())
+    {
+        return;
+    }
+    --job->second.open_runs;
+    step_state& step = job->second.occurrences[run.occurrence][at(run.step)];
+    core::instant not_before{};
+    for (const member_state& member : run.members)
+    {
+        not_before = std::max(not_before, step.units[at(member.index)].not_before);
+    }
+    for (unit_state& unit : step.units)
+    {
+        if (unit.run == number)
+        {
+            unit.run = 0;
+            unit.not_before = run.gang ? not_before : unit.not_before;
+        }
+    }
+    step.ready_since = now;
+}
+
+void site_scheduler::implementation::stop_run(run_state& run, std::string_view why)
+{
+    if (run.stopping)
+    {
+        return;
+    }
+    run.stopping = true;
+    for (member_state& member : run.members)
+    {
+        member.last_order = {};
+        if (!member.ended && !member.ordered)
+        {
+            member.ended = true;
+        }
+    }
+    this->record("run_stopped", run.job,
+                 "run " + std::to_string(run.number) + " of step " + std::to_string(run.step) +
+                     ": " + std::string(why));
+}
+
+void site_scheduler::implementation::stop_job(const core::job_id& job, std::string_view why)
+{
+    for (auto& [number, run] : this->runs)
+    {
+        if (run.job == job)
+        {
+            this->stop_run(run, why);
+        }
+    }
+}
+
+void site_scheduler::implementation::check_completed(job_state& job)
+{
+    if (job.outcome != job_outcome::open ||
+        static_cast<std::int64_t>(job.occurrences.size()) < job.spec.rounds())
+    {
+        return;
+    }
+    for (const auto& [occurrence, steps] : job.occurrences)
+    {
+        for (const step_state& step : steps)
+        {
+            if (!step.is_done())
+            {
+                return;
+            }
+        }
+    }
+    job.outcome = job_outcome::completed;
+    this->record("job_completed", job.spec.id, "all units have ended well");
+}
+
+} // namespace chicorylift::batch
--- /dev/null
+++ b/src/batch/site_state.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "chicorylift/batch/scheduler.hpp"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+/// State that the site's scheduler decides on.
+namespace chicorylift::batch
+{
+
+/// One unit of one step of one occurrence.
+struct unit_state
+{
+    bool done = false;
+    /// Run that holds room for the unit now; 0 when there is none.
+    run_number run{};
+    std::string checkpoint;
+    /// Runs that ended as failed.
+    std::set<run_number> failed;
+    /// Workers that the unit failed on; other workers are tried first.
+    std::set<agent_id> failed_on;
+    /// Runs that were given up because their lease lapsed; their later reports do not count.
+    std::set<run_number> given_up;
+    /// No start before this moment.
+    core::instant not_before{};
+};
+
+/// One step of one occurrence.
+struct step_state
+{
+    std::vector<unit_state> units;
+    std::int64_t done{};
+    /// When the step could first run; set by the first pass that sees it.
+    std::optional<core::instant> ready_since;
+
+    [[nodiscard]] bool is_done() const noexcept
+    {
+        return this->done == static_cast<std::int64_t>(this->units.size());
+    }
+};
+
+/// A job and how far it has come.
+struct job_state
+{
+    job_spec spec;
+    /// Terms of the newest configuration.
+    queue_terms terms;
+    std::map<std::int64_t, std::vector<step_state>> occurrences;
+    core::instant arrived{};
+    job_outcome outcome = job_outcome::open;
+    bool cancelled = false;
+    /// Agents that are written, and those that must be before a start there.
+    std::set<agent_id> written_agents;
+    std::set<agent_id> agents;
+    /// Agents that may still run units which an earlier lead started.
+    std::set<agent_id> unsettled;
+    std::uint64_t change{};
+    std::uint64_t written{};
+    std::int64_t open_runs{};
+
+    [[nodiscard]] bool is_active() const noexcept
+    {
+        return this->outcome == job_outcome::open && !this->cancelled;
+    }
+};
+
+/// One unit of a run.
+struct member_state
+{
+    std::int64_t index{};
+    agent_id agent;
+    run_phase phase = run_phase::starting;
+    bool ordered = false;
+    bool ended = false;
+    bool confirmed = false;
+    core::instant last_order{};
+    /// Since when the worker's lists do not show the member.
+    std::optional<core::instant> missing_since;
+    std::string checkpoint;
+    std::int64_t percent{};
+    core::instant progressed{};
+};
+
+/// One start of a unit alone or of a whole gang.
+struct run_state
+{
+    run_number number{};
+    core::job_id job;
+    std::int64_t occurrence{};
+    std::int64_t step{};
+    std::vector<member_state> members;
+    amount per_unit;
+    bool gang = false;
+    bool stopping = false;
+    /// Adopted members of a gang wait until all are found.
+    bool whole = true;
+    core::instant began{};
+
+    [[nodiscard]] bool has_ended() const noexcept
+    {
+        for (const member_state& member : this->members)
+        {
+            if (!member.ended)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+/// How a worker has treated its work lately.
+struct worker_record
+{
+    std::int64_t failures{};
+    core::instant distrusted_until{};
+    core::milliseconds next_distrust = std::chrono::milliseconds{2000};
+};
+
+/// An agent and its worker.
+struct worker_state
+{
+    agent_id agent;
+    worker_info info;
+    bool reported = false;
+    /// Complete lists were seen since this lead took over, or since the worker was lost.
+    bool settled = false;
+    bool lost = false;
+    bool leaving = false;
+    core::instant heard{};
+    core::instant renewed{};
+    /// Ends that wait until their job is written: position in the list to job and change.
+    std::map<std::uint64_t, std::pair<core::job_id, std::uint64_t>> pending_ends;
+    std::uint64_t highest_end{};
+    worker_record record;
+};
+
+/// Units that are placed together.
+struct work_group
+{
+    job_state* job{};
+    std::int64_t occurrence{};
+    std::int64_t step{};
+    /// Indices of the units; several only for a gang.
+    std::vector<std::int64_t> units;
+    core::instant waiting_since{};
+    /// Lower goes first.
+    double rank{};
+    bool guaranteed = false;
+};
+
+/// Worker that a unit was given.
+struct unit_placement
+{
+    std::int64_t index{};
+    agent_id agent;
+};
+
+} // namespace chicorylift::batch
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,11 +2,13 @@
 #include "daemon/agent.hpp"
 #include "daemon/entry.hpp"
 #include "daemon/settings.hpp"
+#include "site/daemon.hpp"
 #include "support/log.hpp"
 
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <string_view>
 
 namespace
 {
@@ -37,6 +39,10 @@
 int main(int argument_count, char** arguments)
 {
     using namespace chicorylift;
+    if (argument_count > 1 && std::string_view(arguments[1]) == "batch")
+    {
+        return site::run_daemon(argument_count - 1, arguments + 1);
+    }
     const daemon::parsed_settings parsed = daemon::parse_settings(argument_count, arguments);
     if (parsed.exit_code >= 0)
     {
--- /dev/null
+++ b/src/net/async_http_client.cpp
@@ -0,0 +1,473 @@
+#include "net/async_http_client.hpp"
+
+#include "chicorylift/core/error.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <charconv>
+#include <deque>
+#include <list>
+#include <map>
+#include <sstream>
+#include <sys/epoll.h>
+
+namespace chicorylift::net
+{
+
+namespace
+{
+
+using core::error_kind;
+using core::make_error;
+
+constexpr std::size_t read_chunk = 65536;
+
+std::string print(const client_request& request)
+{
+    std::string text = request.method + " " + request.path + " HTTP/1.1\r\nHost: " +
+                       request.address + "\r\n";
+    for (const http_header& header : request.headers)
+    {
+        text += header.name + ": " + header.value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+    return text + request.body;
+}
+
+struct exchange_state
+{
+    client_request request;
+    async_http_client::receiver on_outcome;
+    event_loop::timer_id timer{};
+};
+
+struct client_connection
+{
+    Poco::Net::StreamSocket socket;
+    std::string address;
+    std::shared_ptr<exchange_state> current;
+    std::string input;
+    std::string output;
+    int status{};
+    std::size_t body_length{};
+    bool connected = false;
+    bool has_header = false;
+    bool keep_alive = true;
+    core::instant idle_since{};
+};
+
+} // namespace
+
+struct async_http_client::implementation
+    : public std::enable_shared_from_this<async_http_client::implementation>
+{
+    using connection_list = std::list<client_connection>;
+    using handle = connection_list::iterator;
+
+    struct destination
+    {
+        connection_list connections;
+        std::deque<std::shared_ptr<exchange_state>> waiting;
+    };
+
+    implementation(event_loop& loop, async_client_limits limits) : loop(loop), limits(limits) {}
+
+    void send(client_request request, receiver on_outcome)
+    {
+        auto state = std::make_shared<exchange_state>();
+        state->request = std::move(request);
+        state->on_outcome = std::move(on_outcome);
+        destination& to = this->destinations[state->request.address];
+        const std::weak_ptr<implementation> self = this->shared_from_this();
+        state->timer =
+            this->loop.after(state->request.answer_patience,
+                             [self, weak = std::weak_ptr<exchange_state>(state)]
+                             {
+                                 const auto alive = self.lock();
+                                 const auto late = weak.lock();
+                                 if (alive != nullptr && late != nullptr)
+                                 {
+                                     alive->on_timeout(late);
+                                 }
+                             });
+        if (this->try_assign(to, state))
+        {
+            return;
+        }
+        if (to.waiting.size() >= this->limits.waiting_per_address)
+        {
+            this->finish(state, make_error(error_kind::no_upstream,
+                                           state->request.address + ": too many requests wait"));
+            return;
+        }
+        to.waiting.push_back(std::move(state));
+    }
+
+    bool try_assign(destination& to, const std::shared_ptr<exchange_state>& state)
+    {
+        const core::instant now = core::boot_clock::now();
+        for (auto each = to.connections.begin(); each != to.connections.end();)
+        {
+            const handle here = each++;
+            if (here->current != nullptr || !here->connected)
+            {
+                continue;
+            }
+            if (now - here->idle_since > this->limits.reuse_within)
+            {
+                this->close(here);
+                continue;
+            }
+            this->begin(here, state);
+            return true;
+        }
+        if (to.connections.size() >= this->limits.connections_per_address)
+        {
+            return false;
+        }
+        this->connect(to, state);
+        return true;
+    }
+
+    void connect(destination& to, const std::shared_ptr<exchange_state>& state)
+    {
+        to.connections.emplace_back();
+        const handle here = std::prev(to.connections.end());
+        here->address = state->request.address;
+        here->current = state;
+        here->output = print(state->request);
+        ++this->opened;
+        try
+        {
+            here->socket.connectNB(Poco::Net::SocketAddress(here->address));
+            here->socket.setBlocking(false);
+            here->socket.setNoDelay(true);
+        }
+        catch (const Poco::Exception& fault)
+        {
+            const auto failed = here->current;
+            to.connections.erase(here);
+            this->finish(failed, make_error(error_kind::no_upstream, failed->request.address +
+                                                                         ": " +
+                                                                         fault.displayText()));
+            return;
+        }
+        const std::weak_ptr<implementation> self = this->shared_from_this();
+        this->loop.watch(descriptor(here), EPOLLOUT | EPOLLIN,
+                         [self, here](std::uint32_t events)
+                         {
+                             if (const auto alive = self.lock())
+                             {
+                                 alive->on_ready(here, events);
+                             }
+                         });
+        this->loop.after(state->request.connect_patience,
+                         [self, weak = std::weak_ptr<exchange_state>(state)]
+                         {
+                             const auto alive = self.lock();
+                             const auto late = weak.lock();
+                             if (alive != nullptr && late != nullptr)
+                             {
+                                 alive->on_connect_timeout(late);
+                             }
+                         });
+    }
+
+    void begin(handle here, const std::shared_ptr<exchange_state>& state)
+    {
+        here->current = state;
+        here->output = print(state->request);
+        here->input.clear();
+        here->has_header = false;
+        this->flush(here);
+    }
+
+    void on_ready(handle here, std::uint32_t events)
+    {
+        if ((events & (EPOLLERR | EPOLLHUP)) != 0 && !here->connected)
+        {
+            this->fail(here, "the connection was refused or reset");
+            return;
+        }
+        if ((events & EPOLLOUT) != 0)
+        {
+            here->connected = true;
+            if (!this->flush(here))
+            {
+                return;
+            }
+        }
+        if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+        {
+            this->read(here);
+        }
+    }
+
+    /// @return whether the connection is still open.
+    bool flush(handle here)
+    {
+        try
+        {
+            while (!here->output.empty())
+            {
+                const int sent = here->socket.sendBytes(here->output.data(),
+                                                        static_cast<int>(here->output.size()));
+                if (sent <= 0)
+                {
+                    break;
+                }
+                here->output.erase(0, static_cast<std::size_t>(sent));
+            }
+        }
+        catch (const Poco::Exception& fault)
+        {
+            this->fail(here, fault.displayText());
+            return false;
+        }
+        this->loop.rewatch(descriptor(here),
+                           EPOLLIN | (here->output.empty() ? 0U : std::uint32_t{EPOLLOUT}));
+        return true;
+    }
+
+    void read(handle here)
+    {
+        std::array<char, read_chunk> chunk{};
+        int count = 0;
+        try
+        {
+            count = here->socket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+        }
+        catch (const Poco::Exception& fault)
+        {
+            this->fail(here, fault.displayText());
+            return;
+        }
+        if (count < 0)
+        {
+            return;
+        }
+        if (count == 0 || here->current == nullptr)
+        {
+            // The server closed, or sent what nobody asked for.
+            this->fail(here, "the connection ended before the answer");
+            return;
+        }
+        here->input.append(chunk.data(), static_cast<std::size_t>(count));
+        if (!here->has_header && !this->read_header(here))
+        {
+            return;
+        }
+        if (here->input.size() >= here->body_length)
+        {
+            this->answered(here);
+        }
+    }
+
+    /// @return whether the header is there; the connection may be closed otherwise.
+    bool read_header(handle here)
+    {
+        const std::size_t end = here->input.find("\r\n\r\n");
+        if (end == std::string::npos)
+        {
+            if (here->input.size() > largest_answer)
+            {
+                this->fail(here, "the header is too large");
+            }
+            return false;
+        }
+        Poco::Net::HTTPResponse parsed;
+        try
+        {
+            std::istringstream text(here->input.substr(0, end + 4));
+            parsed.read(text);
+        }
+        catch (const Poco::Exception&)
+        {
+            this->fail(here, "the answer cannot be read");
+            return false;
+        }
+        here->input.erase(0, end + 4);
+        here->status = static_cast<int>(parsed.getStatus());
+        here->keep_alive = parsed.getKeepAlive();
+        here->body_length = 0;
+        if (parsed.has("Content-Length"))
+        {
+            const std::string& text = parsed.get("Content-Length");
+            const auto number =
+                std::from_chars(text.data(), text.data() + text.size(), here->body_length);
+            if (number.ec != std::errc{} || here->body_length > largest_answer)
+            {
+                this->fail(here, "the answer's length \"" + text + "\" is not acceptable");
+                return false;
+            }
+        }
+        else if (parsed.getChunkedTransferEncoding())
+        {
+            this->fail(here, "the answer comes in chunks, which are not taken in");
+            return false;
+        }
+        here->has_header = true;
+        return true;
+    }
+
+    void answered(handle here)
+    {
+        const auto done = std::move(here->current);
+        here->current = nullptr;
+        client_response response{here->status, here->input.substr(0, here->body_length)};
+        const bool reusable = here->keep_alive && here->input.size() == here->body_length;
+        here->input.clear();
+        here->has_header = false;
+        here->idle_since = core::boot_clock::now();
+        const std::string address = here->address;
+        if (!reusable)
+        {
+            this->close(here);
+        }
+        this->assign_waiting(address);
+        this->finish(done, std::move(response));
+    }
+
+    void assign_waiting(const std::string& address)
+    {
+        destination& to = this->destinations[address];
+        while (!to.waiting.empty())
+        {
+            const auto next = to.waiting.front();
+            to.waiting.pop_front();
+            if (!this->try_assign(to, next))
+            {
+                to.waiting.push_front(next);
+                return;
+            }
+        }
+    }
+
+    /// Ends the connection and the exchange on it.
+    void fail(handle here, const std::string& why)
+    {
+        const auto lost = here->current;
+        const bool connected = here->connected;
+        const std::string address = here->address;
+        this->close(here);
+        if (lost != nullptr)
+        {
+            this->finish(lost, make_error(connected ? error_kind::outcome_unknown
+                                                    : error_kind::no_upstream,
+                                          address + lost->request.path + ": " + why));
+        }
+        this->assign_waiting(address);
+    }
+
+    void on_connect_timeout(const std::shared_ptr<exchange_state>& late)
+    {
+        const handle here = this->find(late);
+        if (here != handle{} && !here->connected)
+        {
+            this->fail(here, "no connection in time");
+        }
+    }
+
+    void on_timeout(const std::shared_ptr<exchange_state>& late)
+    {
+        late->timer = 0;
+        const handle here = this->find(late);
+        if (here != handle{})
+        {
+            this->fail(here, "no answer in time");
+            return;
+        }
+        std::erase(this->destinations[late->request.address].waiting, late);
+        this->finish(late, make_error(error_kind::no_upstream,
+                                      late->request.address + ": no connection became free"));
+    }
+
+    handle find(const std::shared_ptr<exchange_state>& state)
+    {
+        destination& to = this->destinations[state->request.address];
+        for (auto each = to.connections.begin(); each != to.connections.end(); ++each)
+        {
+            if (each->current == state)
+            {
+                return each;
+            }
+        }
+        return {};
+    }
+
+    void finish(const std::shared_ptr<exchange_state>& state,
+                absl::StatusOr<client_response> outcome)
+    {
+        this->loop.cancel(state->timer);
+        const receiver on_outcome = std::move(state->on_outcome);
+        state->on_outcome = nullptr;
+        if (on_outcome)
+        {
+            on_outcome(std::move(outcome));
+        }
+    }
+
+    void close(handle here)
+    {
+        this->loop.unwatch(descriptor(here));
+        here->socket.close();
+        this->destinations[here->address].connections.erase(here);
+    }
+
+    void close_all()
+    {
+        for (auto& [address, to] : this->destinations)
+        {
+            while (!to.connections.empty())
+            {
+                const handle here = to.connections.begin();
+                const auto lost = here->current;
+                this->close(here);
+                if (lost != nullptr)
+                {
+                    this->finish(lost, make_error(error_kind::outcome_unknown, "closing"));
+                }
+            }
+        }
+    }
+
+    static int descriptor(handle here)
+    {
+        return static_cast<int>(here->socket.impl()->sockfd());
+    }
+
+    event_loop& loop;
+    async_client_limits limits;
+    std::map<std::string, destination> destinations;
+    std::uint64_t opened{};
+};
+
+async_http_client::async_http_client(event_loop& loop, async_client_limits limits)
+    : inner(std::make_shared<implementation>(loop, limits))
+{
+}
+
+async_http_client::~async_http_client()
+{
+    this->inner->close_all();
+}
+
+void async_http_client::send(client_request request, receiver on_outcome)
+{
+    this->inner->send(std::move(request), std::move(on_outcome));
+}
+
+void async_http_client::close_all()
+{
+    this->inner->close_all();
+}
+
+std::uint64_t async_http_client::connections_opened() const noexcept
+{
+    return this->inner->opened;
+}
+
+} // namespace chicorylift::net
--- /dev/null
+++ b/src/net/async_http_server.cpp
@@ -0,0 +1,574 @@
+#include "net/async_http_server.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <list>
+#include <sstream>
+#include <sys/epoll.h>
+
+namespace chicorylift::net
+{
+
+namespace
+{
+
+constexpr core::milliseconds sweep_interval{500};
+constexpr int listen_backlog = 1024;
+constexpr int accepts_a_round = 64;
+constexpr std::size_t read_chunk = 16384;
+// A peer that does not read is cut off when this much waits for it.
+constexpr std::size_t most_unsent = 1U << 20U;
+
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_length_required = 411;
+constexpr int status_too_large = 413;
+constexpr int status_header_too_large = 431;
+
+int descriptor_of(const Poco::Net::Socket& socket)
+{
+    return static_cast<int>(socket.impl()->sockfd());
+}
+
+std::vector<std::string> split_path(std::string_view target)
+{
+    const std::string_view path = target.substr(0, target.find('?'));
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    while (begin < path.size())
+    {
+        const std::size_t end = std::min(path.find('/', begin), path.size());
+        if (end > begin)
+        {
+            parts.emplace_back(path.substr(begin, end - begin));
+        }
+        begin = end + 1;
+    }
+    return parts;
+}
+
+std::string print(const server_response& answer, bool keep_alive)
+{
+    const auto status = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status);
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " +
+                       Poco::Net::HTTPResponse::getReasonForStatus(status) + "\r\n";
+    if (!answer.body.empty())
+    {
+        text += "Content-Type: " + answer.content_type + "\r\n";
+    }
+    for (const http_header& header : answer.headers)
+    {
+        text += header.name + ": " + header.value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    text += keep_alive ? "\r\n" : "Connection: close\r\n\r\n";
+    return text + answer.body;
+}
+
+server_response plain_error(int status, const std::string& text)
+{
+    server_response answer;
+    answer.status = status;
+    answer.content_type = "text/plain";
+    answer.body = text + "\n";
+    return answer;
+}
+
+struct connection
+{
+    explicit connection(Poco::Net::StreamSocket accepted) : socket(std::move(accepted)) {}
+
+    Poco::Net::StreamSocket socket;
+    std::string input;
+    std::string output;
+    server_request request;
+    std::size_t body_left{};
+    bool has_header = false;
+    bool waiting_for_answer = false;
+    bool close_after_answer = false;
+    bool peer_finished = false;
+    /// When the present request began to arrive, or the connection became idle.
+    core::instant since{};
+};
+
+} // namespace
+
+struct async_http_server::implementation
+    : public std::enable_shared_from_this<async_http_server::implementation>
+{
+    using connection_list = std::list<connection>;
+    using handle = connection_list::iterator;
+
+    implementation(event_loop& loop, const std::string& address, async_server_limits limits,
+                   handler answer)
+        : loop(loop), limits(limits), answer(std::move(answer))
+    {
+        this->listener.bind(Poco::Net::SocketAddress(address), true);
+        this->listener.listen(listen_backlog);
+        this->listener.setBlocking(false);
+    }
+
+    void start()
+    {
+        const std::weak_ptr<implementation> self = this->shared_from_this();
+        this->loop.watch(descriptor_of(this->listener), EPOLLIN,
+                         [self](std::uint32_t)
+                         {
+                             if (const auto alive = self.lock())
+                             {
+                                 alive->accept_some();
+                             }
+                         });
+        this->listening = true;
+        this->schedule_sweep();
+    }
+
+    void close_all()
+    {
+        this->stop_listening();
+        while (!this->open.empty())
+        {
+            this->close(this->open.begin());
+        }
+        this->loop.cancel(this->sweep_timer);
+    }
+
+    void stop_listening()
+    {
+        if (this->listening)
+        {
+            this->loop.unwatch(descriptor_of(this->listener));
+            this->listener.close();
+            this->listening = false;
+        }
+    }
+
+    void accept_some()
+    {
+        for (int count = 0; count < accepts_a_round && this->listening; ++count)
+        {
+            try
+            {
+                if (!this->listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+                {
+                    return;
+                }
+                this->take(this->listener.acceptConnection());
+            }
+            catch (const Poco::Exception&)
+            {
+                // The peer gave up before it was accepted, or descriptors ran out for now.
+                return;
+            }
+        }
+    }
+
+    void take(Poco::Net::StreamSocket socket)
+    {
+        if (this->open.size() >= this->limits.most_connections)
+        {
+            this->drop_longest_idle();
+        }
+        socket.setBlocking(false);
+        socket.setNoDelay(true);
+        this->open.emplace_back(std::move(socket));
+        const handle here = std::prev(this->open.end());
+        here->since = this->loop.now();
+        const std::weak_ptr<implementation> self = this->shared_from_this();
+        this->loop.watch(descriptor_of(here->socket), EPOLLIN | EPOLLRDHUP,
+                         [self, here](std::uint32_t events)
+                         {
+                             if (const auto alive = self.lock())
+                             {
+                                 alive->on_ready(here, events);
+                             }
+                         });
+    }
+
+    /// Makes room for a new caller at the cost of the one that has been silent for longest.
+    void drop_longest_idle()
+    {
+        handle oldest = this->open.end();
+        for (auto each = this->open.begin(); each != this->open.end(); ++each)
+        {
+            const bool quiet = !each->waiting_for_answer && each->output.empty();
+            if (quiet && (oldest == this->open.end() || each->since < oldest->since))
+            {
+                oldest = each;
+            }
+        }
+        if (oldest != this->open.end())
+        {
+            this->close(oldest);
+        }
+    }
+
+    void on_ready(handle here, std::uint32_t events)
+    {
+        if ((events & EPOLLOUT) != 0 && !this->flush(here))
+        {
+            return;
+        }
+        if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+        {
+            this->read(here);
+        }
+    }
+
+    void read(handle here)
+    {
+        std::array<char, read_chunk> chunk{};
+        int count = 0;
+        try
+        {
+            count = here->socket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+        }
+        catch (const Poco::Exception&)
+        {
+            this->close(here);
+            return;
+        }
+        if (count < 0)
+        {
+            return;
+        }
+        if (count == 0)
+        {
+            here->peer_finished = true;
+            if (!here->waiting_for_answer && here->output.empty())
+            {
+                this->close(here);
+            }
+            else
+            {
+                this->loop.rewatch(descriptor_of(here->socket),
+                                   here->output.empty() ? 0U : std::uint32_t{EPOLLOUT});
+            }
+            return;
+        }
+        if (here->input.empty() && !here->has_header && !here->waiting_for_answer)
+        {
+            here->since = this->loop.now();
+        }
+        here->input.append(chunk.data(), static_cast<std::size_t>(count));
+        if (here->waiting_for_answer && here->input.size() > this->limits.largest_header)
+        {
+            // Pipelined bytes wait in the kernel until the present answer has left.
+            this->loop.rewatch(descriptor_of(here->socket), EPOLLRDHUP);
+            return;
+        }
+        this->advance(here);
+    }
+
+    /// Takes whole requests out of the bytes that have arrived.
+    void advance(handle here)
+    {
+        if (here->waiting_for_answer)
+        {
+            return;
+        }
+        if (!here->has_header && !this->read_header(here))
+        {
+            return;
+        }
+        if (here->input.size() < here->body_left)
+        {
+            return;
+        }
+        here->request.body = here->input.substr(0, here->body_left);
+        here->input.erase(0, here->body_left);
+        here->has_header = false;
+        here->waiting_for_answer = true;
+        this->dispatch(here);
+    }
+
+    /// @return whether the header has arrived whole and is acceptable.
+    bool read_header(handle here)
+    {
+        // Empty lines before a request are allowed and passed over.
+        here->input.erase(0, std::min(here->input.find_first_not_of("\r\n"), here->input.size()));
+        const std::size_t end = here->input.find("\r\n\r\n");
+        if (std::min(end, here->input.size()) > this->limits.largest_header)
+        {
+            this->refuse(here, status_header_too_large, "the header is too large");
+            return false;
+        }
+        if (end == std::string::npos)
+        {
+            return false;
+        }
+        Poco::Net::HTTPRequest parsed;
+        try
+        {
+            std::istringstream text(here->input.substr(0, end + 4));
+            parsed.read(text);
+        }
+        catch (const Poco::Exception&)
+        {
+            this->refuse(here, status_bad_request, "the header cannot be read");
+            return false;
+        }
+        here->input.erase(0, end + 4);
+        return this->take_header(here, parsed);
+    }
+
+    bool take_header(handle here, const Poco::Net::HTTPRequest& parsed)
+    {
+        here->request = {};
+        here->request.method = parsed.getMethod();
+        here->request.target = parsed.getURI();
+        here->request.path = split_path(parsed.getURI());
+        for (const auto& header : parsed)
+        {
+            here->request.headers.push_back({header.first, header.second});
+        }
+        here->close_after_answer = !parsed.getKeepAlive();
+        here->has_header = true;
+        here->body_left = 0;
+        if (parsed.getChunkedTransferEncoding())
+        {
+            this->refuse(here, status_length_required, "the request needs a Content-Length");
+            return false;
+        }
+        if (parsed.has("Content-Length"))
+        {
+            const std::string& text = parsed.get("Content-Length");
+            const char* const last = text.data() + text.size();
+            const auto number = std::from_chars(text.data(), last, here->body_left);
+            if (number.ec != std::errc{} || number.ptr != last)
+            {
+                this->refuse(here, status_bad_request, "Content-Length is not a number");
+                return false;
+            }
+        }
+        if (here->body_left > this->limits.largest_body)
+        {
+            this->refuse(here, status_too_large,
+                         "the body exceeds " + std::to_string(this->limits.largest_body) +
+                             " bytes");
+            return false;
+        }
+        if (parsed.has("Expect"))
+        {
+            here->output += "HTTP/1.1 100 Continue\r\n\r\n";
+            return this->flush(here);
+        }
+        return true;
+    }
+
+    void dispatch(handle here)
+    {
+        ++this->pending;
+        const std::weak_ptr<implementation> self = this->shared_from_this();
+        const auto generation = ++this->next_answer;
+        this->awaiting[generation] = here;
+        this->answer_of[&*here] = generation;
+        const auto respond = [self, generation](server_response response)
+        {
+            if (const auto alive = self.lock())
+            {
+                alive->on_answer(generation, response);
+            }
+        };
+        this->answer(std::move(here->request), respond);
+    }
+
+    void on_answer(std::uint64_t generation, const server_response& response)
+    {
+        const auto found = this->awaiting.find(generation);
+        if (found == this->awaiting.end())
+        {
+            return;
+        }
+        const handle here = found->second;
+        this->awaiting.erase(found);
+        this->answer_of.erase(&*here);
+        --this->pending;
+        here->waiting_for_answer = false;
+        here->since = this->loop.now();
+        here->close_after_answer = here->close_after_answer || this->draining;
+        here->output += print(response, !here->close_after_answer);
+        if (!this->flush(here) || here->close_after_answer)
+        {
+            return;
+        }
+        if (!here->input.empty())
+        {
+            // Another round: the caller may be inside advance() already.
+            const std::weak_ptr<implementation> self = this->shared_from_this();
+            this->loop.after(core::milliseconds{0},
+                             [self, here, descriptor = descriptor_of(here->socket)]
+                             {
+                                 const auto alive = self.lock();
+                                 if (alive != nullptr && alive->is_open(here, descriptor))
+                                 {
+                                     alive->advance(here);
+                                 }
+                             });
+        }
+    }
+
+    bool is_open(handle here, int descriptor)
+    {
+        for (auto each = this->open.begin(); each != this->open.end(); ++each)
+        {
+            if (each == here)
+            {
+                return descriptor_of(each->socket) == descriptor;
+            }
+        }
+        return false;
+    }
+
+    void refuse(handle here, int status, const std::string& text)
+    {
+        here->close_after_answer = true;
+        here->input.clear();
+        here->output += print(plain_error(status, text), false);
+        static_cast<void>(this->flush(here));
+    }
+
+    /// @return whether the connection is still open.
+    bool flush(handle here)
+    {
+        try
+        {
+            while (!here->output.empty())
+            {
+                const int sent = here->socket.sendBytes(here->output.data(),
+                                                        static_cast<int>(here->output.size()));
+                if (sent <= 0)
+                {
+                    break;
+                }
+                here->output.erase(0, static_cast<std::size_t>(sent));
+            }
+        }
+        catch (const Poco::Exception&)
+        {
+            this->close(here);
+            return false;
+        }
+        const bool finished = here->output.empty() && !here->waiting_for_answer &&
+                              (here->close_after_answer || here->peer_finished);
+        if (finished || here->output.size() > most_unsent)
+        {
+            this->close(here);
+            return false;
+        }
+        const std::uint32_t reading = here->peer_finished ? 0U : EPOLLIN | EPOLLRDHUP;
+        this->loop.rewatch(descriptor_of(here->socket),
+                           reading | (here->output.empty() ? 0U : std::uint32_t{EPOLLOUT}));
+        return true;
+    }
+
+    void close(handle here)
+    {
+        const auto found = this->answer_of.find(&*here);
+        if (found != this->answer_of.end())
+        {
+            this->awaiting.erase(found->second);
+            this->answer_of.erase(found);
+            --this->pending;
+        }
+        this->loop.unwatch(descriptor_of(here->socket));
+        here->socket.close();
+        this->open.erase(here);
+    }
+
+    void schedule_sweep()
+    {
+        const std::weak_ptr<implementation> self = this->shared_from_this();
+        this->sweep_timer = this->loop.after(sweep_interval,
+                                             [self]
+                                             {
+                                                 if (const auto alive = self.lock())
+                                                 {
+                                                     alive->sweep();
+                                                 }
+                                             });
+    }
+
+    /// Ends connections that are idle or slow beyond their limits.
+    void sweep()
+    {
+        const core::instant now = this->loop.now();
+        for (auto each = this->open.begin(); each != this->open.end();)
+        {
+            const handle here = each++;
+            if (here->waiting_for_answer)
+            {
+                continue;
+            }
+            const bool arriving = here->has_header || !here->input.empty();
+            const core::milliseconds allowed =
+                arriving ? this->limits.request_time : this->limits.idle;
+            if (now - here->since < allowed && !(this->draining && !arriving))
+            {
+                continue;
+            }
+            if (arriving && here->output.empty())
+            {
+                this->refuse(here, status_timeout, "the request did not arrive in time");
+            }
+            else
+            {
+                this->close(here);
+            }
+        }
+        this->schedule_sweep();
+    }
+
+    event_loop& loop;
+    async_server_limits limits;
+    handler answer;
+    Poco::Net::ServerSocket listener;
+    bool listening = false;
+    bool draining = false;
+    connection_list open;
+    std::size_t pending{};
+    std::uint64_t next_answer{};
+    std::unordered_map<std::uint64_t, handle> awaiting;
+    std::unordered_map<const connection*, std::uint64_t> answer_of;
+    event_loop::timer_id sweep_timer{};
+};
+
+async_http_server::async_http_server(event_loop& loop, const std::string& address,
+                                     async_server_limits limits, handler answer)
+    : inner(std::make_shared<implementation>(loop, address, limits, std::move(answer)))
+{
+    this->inner->start();
+}
+
+async_http_server::~async_http_server()
+{
+    this->inner->close_all();
+}
+
+void async_http_server::set_limits(const async_server_limits& limits)
+{
+    this->inner->limits = limits;
+}
+
+void async_http_server::drain()
+{
+    this->inner->draining = true;
+}
+
+std::size_t async_http_server::unanswered() const noexcept
+{
+    return this->inner->pending;
+}
+
+std::size_t async_http_server::connections() const noexcept
+{
+    return this->inner->open.size();
+}
+
+} // namespace chicorylift::net
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -18,6 +18,8 @@
 struct server_request
 {
     std::string method;
+    /// Path and query as they were sent; empty where the server gives only the parts.
+    std::string target;
     /// Parts of the path between slashes.
     std::vector<std::string> path;
     std::vector<http_header> headers;
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -23,6 +23,8 @@
 constexpr int first_reconnect_ms = 100;
 constexpr int last_reconnect_ms = 3000;
 constexpr int receive_queue = 20'000;
+constexpr int ping_interval_ms = 800;
+constexpr int ping_timeout_ms = 1200;
 constexpr int batch = 256;
 
 struct waiting_message
@@ -38,6 +40,13 @@
     core::instant used;
 };
 
+void probe(zmq::socket_t& socket)
+{
+    socket.set(zmq::sockopt::heartbeat_ivl, ping_interval_ms);
+    socket.set(zmq::sockopt::heartbeat_timeout, ping_timeout_ms);
+    socket.set(zmq::sockopt::connect_timeout, ping_timeout_ms);
+}
+
 void drain_eventfd(int descriptor)
 {
     std::uint64_t count = 0;
@@ -69,6 +78,10 @@
             socket.set(zmq::sockopt::sndhwm, settings.queued_per_peer);
             socket.set(zmq::sockopt::reconnect_ivl, first_reconnect_ms);
             socket.set(zmq::sockopt::reconnect_ivl_max, last_reconnect_ms);
+            if (settings.probe_connections)
+            {
+                probe(socket);
+            }
             socket.connect("tcp://" + address);
             found = this->peers.emplace(address, peer{std::move(socket), {}, {}}).first;
         }
--- a/src/net/transport.hpp
+++ b/src/net/transport.hpp
@@ -23,6 +23,8 @@
     std::string incarnation;
     std::size_t outgoing = 8192;
     int queued_per_peer = 1000;
+    /// Pings idle connections, so that one that went silent is replaced.
+    bool probe_connections = false;
 };
 
 /// What has crossed a transport since its start.
--- /dev/null
+++ b/src/site/agent.cpp
@@ -0,0 +1,106 @@
+#include "site/agent.hpp"
+
+#include "platform/table_adapter.hpp"
+#include "platform/worker_adapter.hpp"
+#include "support/events.hpp"
+#include "support/random_name.hpp"
+
+#include <functional>
+
+namespace chicorylift::site
+{
+
+namespace
+{
+
+namespace events = support::events;
+
+constexpr std::int64_t jitter_steps = 12;
+constexpr core::milliseconds jitter_step{20};
+// Left for the last report and the lead's farewell to leave the process.
+constexpr core::milliseconds last_words{150};
+
+batch::election_settings election_settings_for(const std::string& name)
+{
+    batch::election_settings result;
+    // Each agent has its own place in the order in which they stand.
+    result.jitter = jitter_step * static_cast<std::int64_t>(std::hash<std::string>{}(name) %
+                                                            jitter_steps);
+    return result;
+}
+
+} // namespace
+
+agent::agent(net::event_loop& loop, settings values)
+    : loop(loop), values(std::move(values)), incarnation(support::random_name()),
+      store(std::make_unique<platform::table_adapter>(loop, this->values.store)),
+      worker(std::make_unique<platform::worker_adapter>(loop, this->values.worker)),
+      lease(lease_length(this->values)), worker_answered(core::boot_clock::now()),
+      election(election_settings_for(this->values.name), core::boot_clock::now())
+{
+    net::async_server_limits small;
+    small.most_connections = 64;
+    small.largest_body = 4U << 20U;
+    this->control = std::make_unique<net::async_http_server>(
+        loop, this->values.control, small,
+        [this](const net::server_request& request,
+               const net::async_http_server::responder& respond)
+        { this->answer_worker(request, respond); });
+    if (!this->values.metrics.empty())
+    {
+        this->metrics_server = std::make_unique<net::async_http_server>(
+            loop, this->values.metrics, small,
+            [this](const net::server_request&, const net::async_http_server::responder& respond)
+            {
+                net::server_response response;
+                response.content_type = "text/plain";
+                response.body = this->figures.to_text();
+                respond(response);
+            });
+    }
+    net::transport_settings wires_settings;
+    wires_settings.listen = this->values.listen;
+    wires_settings.advertised = this->values.listen;
+    wires_settings.incarnation = this->incarnation;
+    wires_settings.probe_connections = true;
+    this->wires = std::make_unique<net::transport>(
+        wires_settings,
+        [this](wire::envelope message)
+        {
+            this->loop.post([this, message = std::move(message)] { this->receive(message); });
+        },
+        [this](const std::string& address, const wire::envelope&)
+        { this->loop.post([this, address] { this->on_bounce(address); }); });
+    this->register_member();
+    this->read_members();
+    this->read_lead_row(false);
+    this->tick();
+}
+
+agent::~agent() = default;
+
+void agent::reload(const settings& values)
+{
+    this->values.stop_grace = values.stop_grace;
+    events::write("reloaded", {{"stop_grace_ms", values.stop_grace.count()}});
+}
+
+void agent::stop_gracefully(std::function<void()> finished)
+{
+    if (this->leaving)
+    {
+        return;
+    }
+    this->leaving = true;
+    if (this->leading != nullptr)
+    {
+        this->leading->resign();
+    }
+    else
+    {
+        this->send_report();
+    }
+    this->loop.after(last_words, std::move(finished));
+}
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/agent_lead.cpp
@@ -0,0 +1,466 @@
+#include "chicorylift/core/error.hpp"
+#include "site/agent.hpp"
+#include "site/rows.hpp"
+#include "support/events.hpp"
+
+/// The agent's part that follows a lead, or becomes it.
+namespace chicorylift::site
+{
+
+namespace
+{
+
+namespace events = support::events;
+
+// Every report renews the lease; two may be lost before the lead is suspected.
+constexpr core::milliseconds report_interval{600};
+// News within this time goes in one report.
+constexpr core::milliseconds report_delay{5};
+constexpr core::milliseconds store_patience{800};
+constexpr core::milliseconds lead_read_pause{400};
+constexpr core::milliseconds member_read_pause{1500};
+// A start needs so much of the lease left to reach the worker in time.
+constexpr core::milliseconds least_lease{800};
+
+} // namespace
+
+void agent::receive(const wire::envelope& message)
+{
+    switch (message.body_case())
+    {
+    case wire::envelope::kUnitReport:
+        if (this->leading != nullptr)
+        {
+            this->leading->on_report(message);
+            return;
+        }
+        {
+            // Whoever takes this process for the lead must look for another one at once.
+            wire::envelope reply;
+            reply.mutable_unit_orders()->set_epoch(message.unit_report().epoch());
+            reply.mutable_unit_orders()->set_resigning(true);
+            if (message.unit_report().epoch() >= this->epoch)
+            {
+                this->send(message.from(), std::move(reply));
+            }
+        }
+        break;
+    case wire::envelope::kUnitOrders:
+        this->on_orders(message.from(), message.unit_orders());
+        break;
+    case wire::envelope::kLeadProbe:
+        this->on_probe(message.from(), message.lead_probe());
+        break;
+    default:
+        break;
+    }
+}
+
+void agent::follow(std::uint64_t new_epoch, const std::string& address, const std::string& name)
+{
+    if (new_epoch > this->epoch)
+    {
+        events::write("lead_followed",
+                      {{"epoch", new_epoch}, {"before", this->epoch}, {"lead", name}});
+        // The lists count only when they were read after the worker has seen the new epoch.
+        this->lists_valid = false;
+        if (this->leading != nullptr && this->leading->epoch() < new_epoch)
+        {
+            this->leading->on_other_epoch(new_epoch);
+        }
+    }
+    this->epoch = new_epoch;
+    this->lead_address = address;
+    this->lead_name = name;
+}
+
+void agent::on_orders(const std::string& from, const wire::batch_orders& orders)
+{
+    const core::instant now = core::boot_clock::now();
+    if (orders.epoch() < this->epoch)
+    {
+        // Tells a lead that does not know it yet that it has been replaced.
+        wire::envelope reply;
+        reply.mutable_unit_report()->set_epoch(this->epoch);
+        reply.mutable_unit_report()->set_agent(this->values.name);
+        this->send(from, std::move(reply));
+        return;
+    }
+    if (orders.resigning())
+    {
+        if (from == this->lead_address && orders.epoch() == this->epoch)
+        {
+            this->election.on_lead_gone(now);
+        }
+        return;
+    }
+    const bool is_new = orders.epoch() > this->epoch;
+    this->follow(orders.epoch(), from, orders.lead());
+    this->election.on_lead_heard(now);
+    this->unwritten_starts = orders.unwritten_starts();
+    if (orders.reply_to() != 0)
+    {
+        this->lease.on_answer(orders.reply_to());
+    }
+    for (const wire::batch_member& member : orders.members())
+    {
+        this->members[member.agent()] = member.address();
+    }
+    if (orders.members_size() > 0)
+    {
+        this->members_version = orders.members_version();
+    }
+    if (orders.noted_born_ms() == this->info.born.count() && orders.noted() > this->noted)
+    {
+        this->noted = orders.noted();
+        this->schedule_look(core::milliseconds{0});
+    }
+    for (const wire::batch_stop& settled : orders.settled())
+    {
+        const auto unit = batch::unit_key_from(settled.unit());
+        if (unit.ok())
+        {
+            this->runs.on_settled({*unit, settled.run()});
+        }
+    }
+    for (const wire::batch_stop& stop : orders.stops())
+    {
+        const auto unit = batch::unit_key_from(stop.unit());
+        const auto action = unit.ok() ? this->runs.on_stop_order({*unit, stop.run()}, now)
+                                      : std::nullopt;
+        if (action.has_value())
+        {
+            this->carry_out(*action);
+        }
+    }
+    for (const wire::batch_start& start : orders.starts())
+    {
+        const auto unit = batch::unit_key_from(start.unit());
+        // Without a lease, or with lists of an earlier epoch, the order is left to come again.
+        const bool may_start = unit.ok() && this->lists_valid && !this->info.draining &&
+                               !this->info.gone && !this->leaving &&
+                               this->lease.granted_until() > now + least_lease;
+        if (!may_start)
+        {
+            continue;
+        }
+        batch::worker_action wanted;
+        wanted.unit = *unit;
+        wanted.run = start.run();
+        wanted.payload = start.payload();
+        wanted.checkpoint = start.checkpoint();
+        const auto action = this->runs.on_start_order(wanted, now);
+        if (action.has_value())
+        {
+            this->carry_out(*action);
+        }
+        else
+        {
+            this->report_soon();
+        }
+    }
+    if (is_new)
+    {
+        this->schedule_look(core::milliseconds{0});
+        this->report_soon();
+    }
+    if (orders.reply_to() == 0 && now - this->last_report > report_interval)
+    {
+        this->report_soon();
+    }
+}
+
+void agent::on_probe(const std::string& from, const wire::batch_probe& probe)
+{
+    const core::instant now = core::boot_clock::now();
+    if (!probe.answer())
+    {
+        wire::envelope reply;
+        wire::batch_probe& answer = *reply.mutable_lead_probe();
+        answer.set_answer(true);
+        answer.set_epoch(this->epoch);
+        const bool leads = this->leading != nullptr;
+        answer.set_lead_heard(leads || this->epoch > probe.epoch() ||
+                              (this->epoch == probe.epoch() && this->epoch != 0 &&
+                               this->election.hears_lead(now)));
+        answer.set_lead_address(this->lead_address);
+        answer.set_lead(this->lead_name);
+        this->send(from, std::move(reply));
+        return;
+    }
+    if (probe.epoch() > this->epoch && !probe.lead_address().empty())
+    {
+        this->follow(probe.epoch(), probe.lead_address(), probe.lead());
+        this->report_soon();
+    }
+    this->election.on_probe_answer(probe.lead_heard(), now);
+}
+
+void agent::on_bounce(const std::string& address)
+{
+    if (address == this->lead_address && this->leading == nullptr)
+    {
+        this->election.on_lead_gone(core::boot_clock::now());
+    }
+}
+
+void agent::send(const std::string& address, wire::envelope message)
+{
+    if (address == this->values.listen)
+    {
+        message.set_from(address);
+        message.set_incarnation(this->incarnation);
+        this->loop.post([this, message = std::move(message)] { this->receive(message); });
+        return;
+    }
+    if (!address.empty())
+    {
+        static_cast<void>(this->wires->send(address, std::move(message)));
+    }
+}
+
+void agent::report_soon()
+{
+    if (this->report_scheduled)
+    {
+        return;
+    }
+    this->report_scheduled = true;
+    this->loop.after(report_delay,
+                     [this]
+                     {
+                         this->report_scheduled = false;
+                         this->send_report();
+                     });
+}
+
+void agent::send_report()
+{
+    if (this->lead_address.empty())
+    {
+        return;
+    }
+    const core::instant now = core::boot_clock::now();
+    wire::envelope message;
+    wire::batch_report& report = *message.mutable_unit_report();
+    report.set_sequence(++this->report_sequence);
+    report.set_epoch(this->epoch);
+    report.set_agent(this->values.name);
+    *report.mutable_worker() = to_message(this->info);
+    report.set_lists_valid(this->lists_valid);
+    if (this->lists_valid)
+    {
+        add_runs(report, this->runs.runs());
+        add_ends(report, this->runs.ends());
+    }
+    report.set_store_reachable(this->store_answers);
+    report.set_unwritten_starts(this->unwritten_starts);
+    report.set_members_version(this->members_version);
+    report.set_leaving(this->leaving);
+    this->lease.on_report_sent(this->report_sequence, now);
+    this->last_report = now;
+    this->send(this->lead_address, std::move(message));
+}
+
+void agent::run_election()
+{
+    const core::instant now = core::boot_clock::now();
+    if (this->leading != nullptr || this->leaving)
+    {
+        return;
+    }
+    if (this->epoch == 0 && !this->reading_lead && now >= this->next_lead_read)
+    {
+        this->read_lead_row(false);
+    }
+    const bool others = this->members.size() > 1;
+    switch (this->election.tick(others, now))
+    {
+    case batch::election_step::nothing:
+        break;
+    case batch::election_step::probe:
+        events::write("lead_suspected", {{"epoch", this->epoch}, {"lead", this->lead_name}});
+        for (const auto& [name, address] : this->members)
+        {
+            if (name != this->values.name)
+            {
+                wire::envelope message;
+                message.mutable_lead_probe()->set_epoch(this->epoch);
+                this->send(address, std::move(message));
+            }
+        }
+        break;
+    case batch::election_step::stand:
+        this->read_lead_row(true);
+        break;
+    }
+}
+
+void agent::read_lead_row(bool stand)
+{
+    if (this->reading_lead)
+    {
+        if (stand)
+        {
+            this->election.on_stand_failed(core::boot_clock::now());
+        }
+        return;
+    }
+    this->reading_lead = true;
+    this->store->read(lead_table, site_partition, lead_key, 1, store_patience,
+                      [this, stand](const absl::StatusOr<ports::row_page>& page)
+                      {
+                          this->reading_lead = false;
+                          this->on_lead_row(page, stand);
+                      });
+}
+
+void agent::on_lead_row(const absl::StatusOr<ports::row_page>& page, bool stand)
+{
+    const core::instant now = core::boot_clock::now();
+    this->store_answers = page.ok();
+    this->next_lead_read = now + lead_read_pause;
+    if (!page.ok())
+    {
+        if (stand)
+        {
+            this->election.on_stand_failed(now);
+        }
+        return;
+    }
+    wire::batch_lead_row current;
+    ports::revision version = 0;
+    if (!page->rows.empty() && current.ParseFromString(page->rows.front().value))
+    {
+        version = page->rows.front().version;
+    }
+    if (current.epoch() > this->epoch)
+    {
+        // News: the lead of that epoch is given the usual time to be heard.
+        const bool own = current.agent() == this->values.name;
+        this->follow(current.epoch(), current.address(), current.agent());
+        this->schedule_look(core::milliseconds{0});
+        if (own)
+        {
+            // An earlier process of this agent led; nobody does now.
+            this->election.on_stand_failed(now);
+            this->election.on_lead_gone(now);
+        }
+        else
+        {
+            this->election.on_lead_heard(now);
+            this->report_soon();
+        }
+        return;
+    }
+    if (stand)
+    {
+        this->stand(current.epoch() + 1, version);
+    }
+}
+
+void agent::stand(std::uint64_t next_epoch, ports::revision version)
+{
+    wire::batch_lead_row row;
+    row.set_epoch(next_epoch);
+    row.set_agent(this->values.name);
+    row.set_address(this->values.listen);
+    row.set_incarnation(this->incarnation);
+    ports::transaction changes;
+    changes.conditions.push_back({lead_place(), version});
+    changes.writes.push_back({lead_place(), row.SerializeAsString()});
+    this->store->commit(
+        changes, store_patience,
+        [this, next_epoch](const ports::commit_outcome& outcome)
+        {
+            if (outcome.state == ports::commit_state::applied && next_epoch > this->epoch)
+            {
+                this->begin_leading(next_epoch, outcome.version);
+                return;
+            }
+            // A lost answer is settled by the next reading: a row of this process is taken over
+            // with a higher epoch.
+            this->election.on_stand_failed(core::boot_clock::now());
+        });
+}
+
+void agent::begin_leading(std::uint64_t next_epoch, ports::revision version)
+{
+    const bool loose = this->unwritten_starts;
+    this->follow(next_epoch, this->values.listen, this->values.name);
+    this->election.on_lead_heard(core::boot_clock::now());
+    this->leading = std::make_unique<lead>(
+        lead_surroundings{
+            this->loop, this->values, *this->store, this->figures,
+            [this](const std::string& address, wire::envelope message)
+            { this->send(address, std::move(message)); },
+            [this](const std::string&)
+            {
+                this->leading.reset();
+                this->next_lead_read = {};
+                this->read_lead_row(false);
+            }},
+        next_epoch, version, loose);
+    this->schedule_look(core::milliseconds{0});
+    this->report_soon();
+}
+
+void agent::register_member()
+{
+    wire::batch_member row;
+    row.set_agent(this->values.name);
+    row.set_address(this->values.listen);
+    row.set_zone(this->values.zone);
+    row.set_region(this->values.region);
+    ports::transaction changes;
+    changes.writes.push_back(
+        {member_place(batch::agent_id(this->values.name)), row.SerializeAsString()});
+    this->store->commit(changes, store_patience,
+                        [this](const ports::commit_outcome& outcome)
+                        {
+                            this->registered = outcome.state == ports::commit_state::applied;
+                            this->store_answers = this->registered;
+                            if (!this->registered)
+                            {
+                                this->loop.after(lead_read_pause,
+                                                 [this] { this->register_member(); });
+                            }
+                        });
+}
+
+void agent::read_members()
+{
+    this->store->read(
+        member_table, site_partition, {}, 0, store_patience,
+        [this](const absl::StatusOr<ports::row_page>& page)
+        {
+            for (std::size_t index = 0; page.ok() && index < page->rows.size(); ++index)
+            {
+                wire::batch_member member;
+                if (member.ParseFromString(page->rows[index].value) && !member.agent().empty())
+                {
+                    this->members[member.agent()] = member.address();
+                }
+            }
+            // Until a lead tells who is there, newcomers are looked for in the store.
+            if (this->members_version == 0 && !this->leaving)
+            {
+                this->loop.after(member_read_pause, [this] { this->read_members(); });
+            }
+        });
+}
+
+void agent::tick()
+{
+    constexpr core::milliseconds interval{100};
+    const core::instant now = core::boot_clock::now();
+    this->check_orders();
+    this->run_election();
+    if (!this->lead_address.empty() && now - this->last_report >= report_interval)
+    {
+        this->send_report();
+    }
+    this->loop.after(interval, [this] { this->tick(); });
+}
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/job_view.cpp
@@ -0,0 +1,87 @@
+#include "site/job_view.hpp"
+
+#include "site/rows.hpp"
+
+namespace chicorylift::site
+{
+
+platform::shown_state seen_job::state() const noexcept
+{
+    // A final outcome is written only while there is no cancellation, so that it came first.
+    if (this->completed)
+    {
+        return platform::shown_state::completed;
+    }
+    if (this->failed)
+    {
+        return platform::shown_state::failed;
+    }
+    if (this->cancelled)
+    {
+        return platform::shown_state::cancelled;
+    }
+    return this->placed ? platform::shown_state::running : platform::shown_state::queued;
+}
+
+void job_view::take(const ports::row& row)
+{
+    const auto key = job_row_key_from(row.place.key);
+    if (!key.has_value())
+    {
+        return;
+    }
+    if (row.removed)
+    {
+        if (key->kind == job_row_kind::accepted)
+        {
+            this->jobs.erase(key->job);
+        }
+        return;
+    }
+    seen_job& job = this->jobs[key->job];
+    if (key->kind == job_row_kind::accepted)
+    {
+        wire::batch_job stored;
+        if (stored.ParseFromString(row.value))
+        {
+            job.queue = batch::queue_id(stored.terms().queue());
+            job.organisation = core::organisation_id(stored.organisation());
+            job.timed = stored.occurrences() > 0;
+            job.accepted_version = row.version;
+        }
+    }
+    else if (key->kind == job_row_kind::progress)
+    {
+        wire::batch_progress stored;
+        if (stored.ParseFromString(row.value))
+        {
+            job.placed = stored.agents_size() > 0;
+            job.completed = stored.outcome() == wire::BATCH_COMPLETED;
+            job.failed = stored.outcome() == wire::BATCH_FAILED;
+        }
+    }
+    else
+    {
+        job.cancelled = true;
+    }
+}
+
+const seen_job* job_view::find(const core::job_id& job) const
+{
+    const auto found = this->jobs.find(job);
+    return found == this->jobs.end() || found->second.accepted_version == 0 ? nullptr
+                                                                           : &found->second;
+}
+
+std::size_t job_view::waiting(const batch::queue_id& queue) const
+{
+    std::size_t count = 0;
+    for (const auto& [id, job] : this->jobs)
+    {
+        const bool waits = job.state() == platform::shown_state::queued && !job.timed;
+        count += job.queue == queue && job.accepted_version != 0 && waits ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/job_view.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "chicorylift/batch/job.hpp"
+#include "platform/front_dialect.hpp"
+#include "ports/table_service.hpp"
+
+#include <map>
+#include <optional>
+
+namespace chicorylift::site
+{
+
+/// What an entry keeps of a job.
+struct seen_job
+{
+    batch::queue_id queue;
+    core::organisation_id organisation;
+    bool timed = false;
+    bool placed = false;
+    bool completed = false;
+    bool failed = false;
+    bool cancelled = false;
+    /// Version of the row that was written when the job was accepted; 0 before it is seen.
+    ports::revision accepted_version{};
+
+    /// @return the state that callers are shown.
+    [[nodiscard]] platform::shown_state state() const noexcept;
+};
+
+/// An entry's view of all jobs, made from the rows of the job table.
+class job_view
+{
+public:
+    /// Takes in one row; rows of other kinds are passed over.
+    void take(const ports::row& row);
+    /// @return the job, or nullptr when its acceptance has not been seen.
+    [[nodiscard]] const seen_job* find(const core::job_id& job) const;
+    /// @return jobs of a queue that were accepted, have no times and have not begun.
+    [[nodiscard]] std::size_t waiting(const batch::queue_id& queue) const;
+    [[nodiscard]] std::size_t size() const noexcept { return this->jobs.size(); }
+
+private:
+    std::map<core::job_id, seen_job> jobs;
+};
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/lead.cpp
@@ -0,0 +1,705 @@
+#include "site/lead.hpp"
+
+#include "platform/front_dialect.hpp"
+#include "site/rows.hpp"
+#include "support/events.hpp"
+
+#include <algorithm>
+
+namespace chicorylift::site
+{
+
+namespace
+{
+
+namespace events = support::events;
+
+constexpr core::milliseconds tick_interval{200};
+// News within this time is decided on together.
+constexpr core::milliseconds pass_delay{4};
+constexpr core::milliseconds config_wait{3000};
+constexpr core::milliseconds job_wait{3000};
+constexpr core::milliseconds lead_wait{4000};
+constexpr core::milliseconds member_wait{8000};
+// Ends that finish no job are written together.
+constexpr core::milliseconds lazy_write_interval{200};
+constexpr core::milliseconds write_patience{800};
+// The store counts as lost for placing after this long.
+constexpr core::milliseconds store_lost_after{700};
+// An agent that was not heard for this long is called, so that one that restarted finds its lead.
+constexpr core::milliseconds silent_after{900};
+constexpr core::milliseconds majority_freshness{1500};
+// A pause of the process beyond this may have cost the lead.
+constexpr core::milliseconds suspicious_pause{1000};
+// Reports within this time after a pause may have been sent before it.
+constexpr core::milliseconds old_news{300};
+// How long the store is asked before the agents' word is enough.
+constexpr core::milliseconds confirmation_patience{1200};
+constexpr std::size_t most_rows_a_write = 30;
+
+// Margins of a lease: a worker's clock may be two percent slow, and answers take time.
+constexpr core::milliseconds lease_reserve{900};
+constexpr core::milliseconds longest_lease_used{5200};
+constexpr core::milliseconds lapse_margin{350};
+constexpr std::int64_t clock_error_percent = 2;
+constexpr std::int64_t percent = 100;
+
+batch::unix_time unix_now()
+{
+    return std::chrono::duration_cast<core::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+batch::scheduler_settings scheduler_settings_from(const settings& values, std::uint64_t epoch)
+{
+    batch::scheduler_settings result;
+    result.epoch = epoch;
+    result.lapse = lapse_time(values);
+    result.remote_factor = static_cast<double>(values.remote_factor);
+    return result;
+}
+
+} // namespace
+
+core::milliseconds lease_length(const settings& values) noexcept
+{
+    return std::min(values.longest_lease - lease_reserve, longest_lease_used);
+}
+
+core::milliseconds lapse_time(const settings& values) noexcept
+{
+    const core::milliseconds length = lease_length(values);
+    return length + length * clock_error_percent / percent + lapse_margin;
+}
+
+lead::lead(lead_surroundings surroundings, std::uint64_t epoch, ports::revision row_version,
+           bool unwritten_starts)
+    : around(std::move(surroundings)), my_epoch(epoch), row_version(row_version),
+      scheduler(scheduler_settings_from(this->around.values, epoch), core::boot_clock::now()),
+      began(core::boot_clock::now()), last_tick(this->began)
+{
+    if (unwritten_starts)
+    {
+        this->scheduler.distrust_written_agents();
+    }
+    this->member_rows = std::make_unique<mirrored_table>(
+        this->around.loop, this->around.store,
+        mirror_settings{member_table, site_partition, member_wait},
+        [this](const ports::row& row) { this->on_member_row(row); },
+        [this] { this->load_jobs_if_ready(); });
+    this->config_rows = std::make_unique<mirrored_table>(
+        this->around.loop, this->around.store,
+        mirror_settings{platform::config_table, "", config_wait},
+        [this](const ports::row& row) { this->on_config_row(row); },
+        [this] { this->load_jobs_if_ready(); });
+    this->job_rows = std::make_unique<mirrored_table>(
+        this->around.loop, this->around.store,
+        mirror_settings{job_table, site_partition, job_wait},
+        [this](const ports::row& row) { this->on_job_row(row); },
+        [this] { this->load_jobs_if_ready(); });
+    this->lead_rows = std::make_unique<mirrored_table>(
+        this->around.loop, this->around.store,
+        mirror_settings{lead_table, site_partition, lead_wait},
+        [this](const ports::row& row) { this->on_lead_row(row); }, [] {});
+    const std::weak_ptr<bool> still = this->alive;
+    this->around.loop.after(tick_interval,
+                            [this, still]
+                            {
+                                if (!still.expired())
+                                {
+                                    this->tick();
+                                }
+                            });
+}
+
+lead::~lead() = default;
+
+void lead::on_member_row(const ports::row& row)
+{
+    wire::batch_member member;
+    if (row.removed || !member.ParseFromString(row.value) || member.agent().empty())
+    {
+        return;
+    }
+    agent_state& state = this->agents[member.agent()];
+    if (state.address != member.address())
+    {
+        state.address = member.address();
+        ++this->members_version;
+    }
+    this->scheduler.add_agent(batch::agent_id(member.agent()));
+}
+
+void lead::on_config_row(const ports::row& row)
+{
+    if (row.place.key != platform::config_key || row.removed)
+    {
+        return;
+    }
+    auto read = platform::read_config(row.value);
+    if (!read.ok())
+    {
+        events::write("config_rejected", {{"row_version", row.version},
+                                          {"reason", std::string(read.status().message())}});
+        return;
+    }
+    if (this->config.has_value() && read->version < this->config->version)
+    {
+        return;
+    }
+    this->config = std::move(*read);
+    events::write("config_in_force", {{"version", this->config->version}, {"at", "lead"}});
+    this->scheduler.set_terms(this->config->queues(), this->config->guaranteed_accelerators);
+    this->schedule_pass();
+}
+
+void lead::on_lead_row(const ports::row& row)
+{
+    wire::batch_lead_row current;
+    if (!row.removed && current.ParseFromString(row.value))
+    {
+        this->on_other_epoch(current.epoch());
+    }
+}
+
+void lead::on_other_epoch(std::uint64_t epoch)
+{
+    if (epoch > this->my_epoch)
+    {
+        this->step_down("epoch " + std::to_string(epoch) + " is in force");
+    }
+}
+
+void lead::step_down(const std::string& why)
+{
+    if (this->over)
+    {
+        return;
+    }
+    this->over = true;
+    events::write("lead_lost", {{"epoch", this->my_epoch}, {"reason", why}});
+    this->around.loop.post([superseded = this->around.superseded, why] { superseded(why); });
+}
+
+void lead::on_job_row(const ports::row& row)
+{
+    const auto key = job_row_key_from(row.place.key);
+    if (!key.has_value())
+    {
+        return;
+    }
+    if (row.removed)
+    {
+        if (key->kind == job_row_kind::accepted)
+        {
+            this->scheduler.forget_job(key->job);
+        }
+        return;
+    }
+    if (key->kind == job_row_kind::cancel)
+    {
+        this->cancel_rows[key->job] = true;
+        this->scheduler.cancel_job(key->job);
+        this->schedule_pass();
+    }
+    else if (key->kind == job_row_kind::progress && !this->loaded)
+    {
+        wire::batch_progress progress;
+        if (progress.ParseFromString(row.value))
+        {
+            this->progress_rows[key->job] = progress;
+        }
+    }
+    else if (key->kind == job_row_kind::accepted)
+    {
+        this->take_accepted(row);
+    }
+}
+
+void lead::take_accepted(const ports::row& row)
+{
+    wire::batch_job stored;
+    if (!stored.ParseFromString(row.value))
+    {
+        events::write("unlisted", {{"row", row.place.key}, {"reason", "the row cannot be read"}});
+        return;
+    }
+    const core::job_id id(stored.id());
+    if (!this->loaded)
+    {
+        this->waiting_rows[id] = std::move(stored);
+        return;
+    }
+    this->scheduler.add_job(from_row(stored), {}, this->cancel_rows.contains(id),
+                            this->around.loop.now());
+    events::write("job_known",
+                  {{"job", id.str()},
+                   {"queue", stored.terms().queue()},
+                   {"organisation", stored.organisation()},
+                   {"accepted_ms_ago", (unix_now() - batch::unix_time{stored.accepted_ms()}).count()},
+                   {"row_version", row.version}});
+    this->schedule_pass();
+}
+
+void lead::load_jobs_if_ready()
+{
+    if (this->loaded || !this->job_rows->is_loaded() || !this->member_rows->is_loaded() ||
+        !this->config.has_value())
+    {
+        return;
+    }
+    this->loaded = true;
+    std::uint64_t open = 0;
+    for (const auto& [id, stored] : this->waiting_rows)
+    {
+        batch::job_progress progress;
+        const auto written = this->progress_rows.find(id);
+        if (written != this->progress_rows.end())
+        {
+            progress = from_row(written->second);
+        }
+        const bool cancelled = this->cancel_rows.contains(id) &&
+                               progress.outcome == batch::job_outcome::open;
+        open += progress.outcome == batch::job_outcome::open && !cancelled ? 1 : 0;
+        this->scheduler.add_job(from_row(stored), progress, cancelled, this->around.loop.now());
+    }
+    events::write("lead_taken",
+                  {{"epoch", this->my_epoch},
+                   {"jobs", static_cast<std::uint64_t>(this->waiting_rows.size())},
+                   {"open_jobs", open},
+                   {"agents", static_cast<std::uint64_t>(this->agents.size())},
+                   {"took_ms", (core::boot_clock::now() - this->began).count()}});
+    this->waiting_rows.clear();
+    this->progress_rows.clear();
+    this->around.figures.count("lead", "taken");
+    this->call_silent_agents(core::boot_clock::now() + silent_after * 2);
+    this->schedule_pass();
+}
+
+void lead::on_report(const wire::envelope& message)
+{
+    const wire::batch_report& report = message.unit_report();
+    if (this->over)
+    {
+        return;
+    }
+    if (report.epoch() > this->my_epoch)
+    {
+        this->on_other_epoch(report.epoch());
+        return;
+    }
+    this->check_suspension();
+    const core::instant now = core::boot_clock::now();
+    agent_state& state = this->agents[report.agent()];
+    if (state.address != message.from())
+    {
+        state.address = message.from();
+        ++this->members_version;
+    }
+    if (this->confirmed || now - this->woke > old_news)
+    {
+        state.heard = now;
+    }
+    state.members_version = report.members_version();
+    for (const wire::batch_end& end : report.ends())
+    {
+        if (end.number() == 0)
+        {
+            state.settled.emplace_back(end.unit(), end.run());
+        }
+    }
+    if (report.unwritten_starts() && !this->loaded)
+    {
+        this->scheduler.distrust_written_agents();
+    }
+    if (this->loaded)
+    {
+        batch::worker_report taken = from_message(report);
+        taken.lists_valid = taken.lists_valid && report.epoch() == this->my_epoch;
+        this->scheduler.on_report(taken, now);
+        this->schedule_pass();
+    }
+    else
+    {
+        state.settled.clear();
+    }
+    if (this->may_act())
+    {
+        this->reply(report.agent(), state, report.sequence());
+    }
+}
+
+wire::envelope lead::orders_for(const std::string& agent, agent_state& state)
+{
+    wire::envelope message;
+    wire::batch_orders& orders = *message.mutable_unit_orders();
+    orders.set_epoch(this->my_epoch);
+    orders.set_lead(this->around.values.name);
+    if (this->loaded)
+    {
+        const auto [born, number] = this->scheduler.noted_ends(batch::agent_id(agent));
+        orders.set_noted_born_ms(born.count());
+        orders.set_noted(number);
+    }
+    for (const auto& [unit, run] : state.settled)
+    {
+        wire::batch_stop& settled = *orders.add_settled();
+        settled.set_unit(unit);
+        settled.set_run(run);
+    }
+    state.settled.clear();
+    if (state.members_version != this->members_version)
+    {
+        for (const auto& [name, other] : this->agents)
+        {
+            wire::batch_member& member = *orders.add_members();
+            member.set_agent(name);
+            member.set_address(other.address);
+        }
+    }
+    orders.set_members_version(this->members_version);
+    orders.set_store_lost(this->store_lost);
+    orders.set_unwritten_starts(this->unwritten_starts);
+    return message;
+}
+
+void lead::reply(const std::string& agent, agent_state& state, std::uint64_t sequence)
+{
+    wire::envelope message = this->orders_for(agent, state);
+    message.mutable_unit_orders()->set_reply_to(sequence);
+    this->scheduler.on_renewal_sent(batch::agent_id(agent), core::boot_clock::now());
+    this->around.send(state.address, std::move(message));
+}
+
+void lead::call_silent_agents(core::instant now)
+{
+    for (auto& [name, state] : this->agents)
+    {
+        if (now - state.heard > silent_after && !state.address.empty())
+        {
+            this->around.send(state.address, this->orders_for(name, state));
+        }
+    }
+}
+
+void lead::schedule_pass()
+{
+    if (this->pass_scheduled || this->over)
+    {
+        return;
+    }
+    this->pass_scheduled = true;
+    const std::weak_ptr<bool> still = this->alive;
+    this->around.loop.after(pass_delay,
+                            [this, still]
+                            {
+                                if (!still.expired())
+                                {
+                                    this->pass_scheduled = false;
+                                    this->pass();
+                                }
+                            });
+}
+
+void lead::pass()
+{
+    this->check_suspension();
+    if (this->over || !this->loaded || !this->may_act())
+    {
+        return;
+    }
+    const std::vector<batch::order> orders =
+        this->scheduler.decide(core::boot_clock::now(), unix_now(), this->store_lost);
+    this->log_records();
+    this->send_orders(orders);
+    this->write_progress();
+}
+
+void lead::log_records()
+{
+    for (const batch::decision_record& record : this->scheduler.take_records())
+    {
+        events::write(record.event, {{"job", record.job.str()},
+                                     {"detail", record.detail},
+                                     {"epoch", this->my_epoch},
+                                     {"config_version", this->config->version}});
+        this->around.figures.count("decisions", record.event);
+    }
+}
+
+void lead::send_orders(const std::vector<batch::order>& orders)
+{
+    std::map<std::string, wire::envelope> messages;
+    for (const batch::order& order : orders)
+    {
+        const std::string& agent = order.agent.str();
+        const auto known = this->agents.find(agent);
+        if (known == this->agents.end() || known->second.address.empty())
+        {
+            continue;
+        }
+        auto message = messages.find(agent);
+        if (message == messages.end())
+        {
+            message = messages.emplace(agent, this->orders_for(agent, known->second)).first;
+        }
+        wire::batch_orders& out = *message->second.mutable_unit_orders();
+        if (order.what == batch::order::action::start)
+        {
+            this->unwritten_starts = this->unwritten_starts || this->store_lost;
+            wire::batch_start& start = *out.add_starts();
+            start.set_unit(batch::to_text(order.unit));
+            start.set_run(order.run);
+            start.set_payload(order.payload);
+            start.set_checkpoint(order.checkpoint);
+        }
+        else
+        {
+            wire::batch_stop& stop = *out.add_stops();
+            stop.set_unit(batch::to_text(order.unit));
+            stop.set_run(order.run);
+        }
+    }
+    for (auto& [agent, message] : messages)
+    {
+        this->around.send(this->agents[agent].address, std::move(message));
+    }
+}
+
+void lead::write_progress()
+{
+    const core::instant now = core::boot_clock::now();
+    const std::vector<core::job_id> jobs = this->scheduler.unwritten_jobs();
+    if (this->write_in_flight || jobs.empty())
+    {
+        if (jobs.empty() && !this->store_lost)
+        {
+            this->unwritten_starts = false;
+        }
+        return;
+    }
+    if (!this->scheduler.is_write_urgent(jobs.front()) && now < this->next_lazy_write)
+    {
+        return;
+    }
+    this->next_lazy_write = now + lazy_write_interval;
+    ports::transaction changes;
+    changes.conditions.push_back({lead_place(), this->row_version});
+    std::map<core::job_id, std::uint64_t> included;
+    for (const core::job_id& job : jobs)
+    {
+        if (included.size() == most_rows_a_write)
+        {
+            break;
+        }
+        const ports::row_place place = place_of(job, job_row_kind::progress);
+        const batch::job_progress progress = this->scheduler.progress_of(job);
+        // A write whose answer was lost must not take effect after a later one.
+        changes.conditions.push_back({place, this->job_rows->version_of(place.key)});
+        if (progress.outcome != batch::job_outcome::open)
+        {
+            // Callers must not be shown a cancellation that turns into another end.
+            changes.conditions.push_back({place_of(job, job_row_kind::cancel), 0});
+        }
+        changes.writes.push_back({place, to_row(progress).SerializeAsString()});
+        included[job] = this->scheduler.unwritten_change(job);
+    }
+    this->write_in_flight = true;
+    const std::weak_ptr<bool> still = this->alive;
+    this->around.store.commit(changes, write_patience,
+                              [this, still, included](const ports::commit_outcome& outcome)
+                              {
+                                  if (!still.expired())
+                                  {
+                                      this->write_in_flight = false;
+                                      this->on_written(included, outcome);
+                                  }
+                              });
+}
+
+void lead::on_written(const std::map<core::job_id, std::uint64_t>& changes,
+                      const ports::commit_outcome& outcome)
+{
+    const core::instant now = core::boot_clock::now();
+    switch (outcome.state)
+    {
+    case ports::commit_state::applied:
+        this->write_failing_since = {};
+        for (const auto& [job, change] : changes)
+        {
+            this->job_rows->note_written(place_of(job, job_row_kind::progress).key,
+                                         outcome.version);
+            this->scheduler.on_written(job, change);
+        }
+        events::write("progress_written",
+                      {{"jobs", static_cast<std::uint64_t>(changes.size())},
+                       {"row_version", outcome.version},
+                       {"epoch", this->my_epoch}});
+        break;
+    case ports::commit_state::conflict:
+        this->write_failing_since = {};
+        this->take_present_rows(outcome.present);
+        break;
+    case ports::commit_state::refused:
+    case ports::commit_state::unknown:
+        if (this->write_failing_since == core::instant{})
+        {
+            this->write_failing_since = now;
+        }
+        events::write("order_lost", {{"to", "store"}, {"reason", outcome.message}});
+        break;
+    }
+    this->schedule_pass();
+}
+
+void lead::take_present_rows(const std::vector<ports::row>& present)
+{
+    for (const ports::row& row : present)
+    {
+        if (row.place.table == lead_table)
+        {
+            if (row.version != this->row_version)
+            {
+                this->step_down("the lead's row has version " + std::to_string(row.version));
+            }
+            continue;
+        }
+        const auto key = job_row_key_from(row.place.key);
+        if (!key.has_value() || row.version == 0)
+        {
+            continue;
+        }
+        if (key->kind == job_row_kind::progress)
+        {
+            // An earlier write of this lead whose answer was lost.
+            this->job_rows->note_written(row.place.key, row.version);
+        }
+        else if (key->kind == job_row_kind::cancel)
+        {
+            this->cancel_rows[key->job] = true;
+            this->scheduler.cancel_job(key->job);
+        }
+    }
+}
+
+void lead::tick()
+{
+    this->check_suspension();
+    const core::instant now = core::boot_clock::now();
+    const bool writes_fail = this->write_failing_since != core::instant{} &&
+                             now - this->write_failing_since > store_lost_after;
+    const bool lost = writes_fail || (this->job_rows->failing_for(now) > store_lost_after &&
+                                      this->lead_rows->failing_for(now) > store_lost_after);
+    if (lost != this->store_lost)
+    {
+        this->store_lost = lost;
+        events::write(lost ? "store_lost" : "store_regained",
+                      {{"at", "lead"}, {"epoch", this->my_epoch}});
+    }
+    this->call_silent_agents(now);
+    if (!this->confirmed && now - this->woke > confirmation_patience && this->hears_majority(now))
+    {
+        // Nobody can have taken over while the store answers nobody and most agents still follow.
+        this->confirmed = true;
+    }
+    if (this->loaded)
+    {
+        this->pass();
+    }
+    this->last_tick = core::boot_clock::now();
+    const std::weak_ptr<bool> still = this->alive;
+    this->around.loop.after(tick_interval,
+                            [this, still]
+                            {
+                                if (!still.expired() && !this->over)
+                                {
+                                    this->tick();
+                                }
+                            });
+}
+
+/// Holds still after a pause of the process until it is sure that it still leads.
+void lead::check_suspension()
+{
+    const core::instant now = core::boot_clock::now();
+    if (now - this->last_tick > suspicious_pause && this->confirmed)
+    {
+        this->confirmed = false;
+        this->woke = now;
+        events::write("lead_suspected",
+                      {{"epoch", this->my_epoch},
+                       {"reason", "this process stood still"},
+                       {"for_ms", (now - this->last_tick).count()}});
+        for (auto& [name, state] : this->agents)
+        {
+            state.heard = {};
+        }
+    }
+    this->last_tick = std::max(this->last_tick, now - suspicious_pause);
+    if (!this->confirmed && !this->confirming)
+    {
+        this->confirm();
+    }
+}
+
+void lead::confirm()
+{
+    this->confirming = true;
+    const std::weak_ptr<bool> still = this->alive;
+    this->around.store.read(
+        lead_table, site_partition, lead_key, 1, write_patience,
+        [this, still](const absl::StatusOr<ports::row_page>& page)
+        {
+            if (still.expired())
+            {
+                return;
+            }
+            this->confirming = false;
+            if (page.ok() && !page->rows.empty())
+            {
+                if (page->rows.front().version == this->row_version)
+                {
+                    this->confirmed = true;
+                    this->schedule_pass();
+                }
+                else
+                {
+                    this->step_down("the lead's row has changed");
+                }
+            }
+        });
+}
+
+bool lead::hears_majority(core::instant now) const
+{
+    std::size_t heard = 0;
+    for (const auto& [name, state] : this->agents)
+    {
+        heard += now - state.heard < majority_freshness ? 1 : 0;
+    }
+    return heard * 2 > this->agents.size();
+}
+
+bool lead::may_act() const
+{
+    if (this->over || !this->confirmed)
+    {
+        return false;
+    }
+    // Without the store another lead may have been chosen; then most agents follow that one.
+    return !this->store_lost || this->hears_majority(core::boot_clock::now());
+}
+
+void lead::resign()
+{
+    for (auto& [name, state] : this->agents)
+    {
+        wire::envelope message = this->orders_for(name, state);
+        message.mutable_unit_orders()->set_resigning(true);
+        this->around.send(state.address, std::move(message));
+    }
+    this->over = true;
+    events::write("lead_lost", {{"epoch", this->my_epoch}, {"reason", "this process ends"}});
+}
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/lead.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "chicorylift/batch/scheduler.hpp"
+#include "chicorylift/batch/site_config.hpp"
+#include "net/event_loop.hpp"
+#include "ports/table_service.hpp"
+#include "site/mirrored_table.hpp"
+#include "site/settings.hpp"
+#include "support/metrics.hpp"
+#include "wire/wire.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace chicorylift::site
+{
+
+/// What a lead needs from the agent that it runs in.
+struct lead_surroundings
+{
+    net::event_loop& loop;
+    const settings& values;
+    ports::table_service& store;
+    support::metrics& figures;
+    /// Sends a message to another agent, or to this one.
+    std::function<void(const std::string& address, wire::envelope message)> send;
+    /// Called at most once, from the loop, when another lead has taken over.
+    std::function<void(const std::string& why)> superseded;
+};
+
+/// Leads the site in one epoch: hears the agents, places work, writes what must last.
+///
+/// Every write is conditional on the lead's row, and agents refuse lower epochs.
+class lead
+{
+public:
+    lead(lead_surroundings surroundings, std::uint64_t epoch, ports::revision row_version,
+         bool unwritten_starts);
+    ~lead();
+    lead(const lead&) = delete;
+    lead& operator=(const lead&) = delete;
+
+    /// Takes in an agent's report.
+    void on_report(const wire::envelope& message);
+    /// Takes in word of another epoch.
+    void on_other_epoch(std::uint64_t epoch);
+    /// Tells the agents that this process ends, so that another one stands at once.
+    void resign();
+
+    [[nodiscard]] std::uint64_t epoch() const noexcept { return this->my_epoch; }
+
+private:
+    struct agent_state
+    {
+        std::string address;
+        core::instant heard{};
+        std::uint64_t members_version{};
+        /// Runs whose end without a start was reported and need not be told again.
+        std::vector<std::pair<std::string, std::uint64_t>> settled;
+    };
+
+    void on_job_row(const ports::row& row);
+    void take_accepted(const ports::row& row);
+    void on_config_row(const ports::row& row);
+    void on_lead_row(const ports::row& row);
+    void on_member_row(const ports::row& row);
+    void load_jobs_if_ready();
+    void schedule_pass();
+    void pass();
+    void tick();
+    void check_suspension();
+    void confirm();
+    void send_orders(const std::vector<batch::order>& orders);
+    void reply(const std::string& agent, agent_state& state, std::uint64_t sequence);
+    void call_silent_agents(core::instant now);
+    [[nodiscard]] wire::envelope orders_for(const std::string& agent, agent_state& state);
+    void write_progress();
+    void on_written(const std::map<core::job_id, std::uint64_t>& changes,
+                    const ports::commit_outcome& outcome);
+    void take_present_rows(const std::vector<ports::row>& present);
+    void log_records();
+    void step_down(const std::string& why);
+    [[nodiscard]] bool may_act() const;
+    [[nodiscard]] bool hears_majority(core::instant now) const;
+
+    lead_surroundings around;
+    std::uint64_t my_epoch;
+    ports::revision row_version;
+    batch::site_scheduler scheduler;
+    std::optional<batch::site_config> config;
+    std::map<std::string, agent_state> agents;
+    std::uint64_t members_version = 1;
+    /// Rows that came before their job could be made, by job.
+    std::map<core::job_id, wire::batch_progress> progress_rows;
+    std::map<core::job_id, bool> cancel_rows;
+    std::map<core::job_id, wire::batch_job> waiting_rows;
+    bool loaded = false;
+    bool over = false;
+    bool pass_scheduled = false;
+    bool write_in_flight = false;
+    bool unwritten_starts = false;
+    bool confirmed = true;
+    bool confirming = false;
+    bool store_lost = false;
+    core::instant began;
+    core::instant last_tick;
+    core::instant woke{};
+    core::instant next_lazy_write{};
+    core::instant write_failing_since{};
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::unique_ptr<mirrored_table> config_rows;
+    std::unique_ptr<mirrored_table> job_rows;
+    std::unique_ptr<mirrored_table> lead_rows;
+    std::unique_ptr<mirrored_table> member_rows;
+};
+
+/// Time that one answer of the lead keeps an agent's work alive.
+[[nodiscard]] core::milliseconds lease_length(const settings& values) noexcept;
+/// Time after which a silent worker has dropped everything, seen from the lead.
+[[nodiscard]] core::milliseconds lapse_time(const settings& values) noexcept;
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/rows.cpp
@@ -0,0 +1,325 @@
+#include "site/rows.hpp"
+
+namespace chicorylift::site
+{
+
+namespace
+{
+
+constexpr std::string_view accepted_suffix = "/accepted";
+constexpr std::string_view progress_suffix = "/progress";
+constexpr std::string_view cancel_suffix = "/cancel";
+
+void fill(wire::batch_amount& row, const batch::amount& amount)
+{
+    row.set_millicores(amount.millicores);
+    row.set_memory_mb(amount.memory_mb);
+    row.set_accelerators(amount.accelerators);
+}
+
+batch::amount from(const wire::batch_amount& row)
+{
+    return {row.millicores(), row.memory_mb(), row.accelerators()};
+}
+
+void fill(wire::batch_terms& row, const batch::queue_terms& terms)
+{
+    row.set_queue(terms.queue.str());
+    row.set_service(terms.service.str());
+    row.set_priority(terms.priority);
+    row.set_attempts(terms.attempts);
+    row.set_slowdown(terms.slowdown);
+    row.set_target_latency_ms(terms.target_latency.count());
+}
+
+batch::queue_terms from(const wire::batch_terms& row)
+{
+    batch::queue_terms terms;
+    terms.queue = batch::queue_id(row.queue());
+    terms.service = core::service_id(row.service());
+    terms.priority = row.priority();
+    terms.attempts = row.attempts();
+    terms.slowdown = row.slowdown();
+    terms.target_latency = core::milliseconds{row.target_latency_ms()};
+    return terms;
+}
+
+void fill(wire::batch_step& row, const batch::step_spec& step)
+{
+    row.set_units(step.units);
+    fill(*row.mutable_per_unit(), step.per_unit);
+    row.set_estimate_ms(step.estimate.count());
+    for (const std::int64_t earlier : step.after)
+    {
+        row.add_after(earlier);
+    }
+    row.set_required_label(step.required_label);
+    row.set_data_rack(step.data_rack);
+    row.set_image(step.image);
+    row.set_most_per_worker(step.most_per_worker);
+    row.set_may_miss_plus_one(step.may_miss + 1);
+    row.set_latency_target_ms(step.latency_target.count());
+    row.set_gang(step.gang);
+    row.set_rack_local(step.rack_local);
+    row.set_checkpointing(step.checkpointing);
+    row.set_speculative(step.speculative);
+    row.set_long_running(step.long_running);
+    row.set_fills(step.fills);
+}
+
+batch::step_spec from(const wire::batch_step& row)
+{
+    batch::step_spec step;
+    step.units = row.units();
+    step.per_unit = from(row.per_unit());
+    step.estimate = core::milliseconds{row.estimate_ms()};
+    step.after.assign(row.after().begin(), row.after().end());
+    step.required_label = row.required_label();
+    step.data_rack = row.data_rack();
+    step.image = row.image();
+    step.most_per_worker = row.most_per_worker();
+    step.may_miss = row.may_miss_plus_one() - 1;
+    step.latency_target = core::milliseconds{row.latency_target_ms()};
+    step.gang = row.gang();
+    step.rack_local = row.rack_local();
+    step.checkpointing = row.checkpointing();
+    step.speculative = row.speculative();
+    step.long_running = row.long_running();
+    step.fills = row.fills();
+    return step;
+}
+
+wire::batch_end_kind to_message(batch::end_kind kind)
+{
+    // Both lists have the same order; the message's begins with an unknown kind.
+    return static_cast<wire::batch_end_kind>(static_cast<int>(kind) + 1);
+}
+
+batch::end_kind from(wire::batch_end_kind kind)
+{
+    return kind == wire::BATCH_END_UNKNOWN
+               ? batch::end_kind::stopped
+               : static_cast<batch::end_kind>(static_cast<int>(kind) - 1);
+}
+
+batch::worker_info from(const wire::batch_worker& message)
+{
+    batch::worker_info worker;
+    worker.id = core::worker_id(message.id());
+    worker.born = batch::unix_time{message.born_ms()};
+    worker.service = core::service_id(message.service());
+    worker.capacity = from(message.capacity());
+    worker.labels.assign(message.labels().begin(), message.labels().end());
+    worker.rack = core::rack_id(worker.labels.empty() ? "" : worker.labels.back());
+    worker.zone = core::zone_id(message.zone());
+    worker.draining = message.draining();
+    worker.announced = message.announced();
+    worker.gone = message.gone();
+    return worker;
+}
+
+} // namespace
+
+ports::row_place place_of(const core::job_id& job, job_row_kind kind)
+{
+    const std::string_view suffix = kind == job_row_kind::accepted   ? accepted_suffix
+                                    : kind == job_row_kind::progress ? progress_suffix
+                                                                     : cancel_suffix;
+    return {job_table, site_partition, job.str() + std::string(suffix)};
+}
+
+ports::row_place lead_place()
+{
+    return {lead_table, site_partition, lead_key};
+}
+
+ports::row_place member_place(const batch::agent_id& agent)
+{
+    return {member_table, site_partition, agent.str()};
+}
+
+std::optional<job_row_key> job_row_key_from(std::string_view key)
+{
+    const std::size_t slash = key.find('/');
+    if (slash == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const std::string_view suffix = key.substr(slash);
+    job_row_key parsed{core::job_id(std::string(key.substr(0, slash))), job_row_kind::accepted};
+    if (suffix == progress_suffix)
+    {
+        parsed.kind = job_row_kind::progress;
+    }
+    else if (suffix == cancel_suffix)
+    {
+        parsed.kind = job_row_kind::cancel;
+    }
+    else if (suffix != accepted_suffix)
+    {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+wire::batch_job to_row(const batch::job_spec& job)
+{
+    wire::batch_job row;
+    row.set_id(job.id.str());
+    row.set_organisation(job.organisation.str());
+    fill(*row.mutable_terms(), job.terms);
+    row.set_payload(job.payload);
+    for (const batch::step_spec& step : job.steps)
+    {
+        fill(*row.add_steps(), step);
+    }
+    row.set_occurrences(job.occurrences);
+    row.set_first_due_ms(job.first_due.count());
+    row.set_interval_ms(job.interval.count());
+    row.set_accepted_ms(job.accepted.count());
+    return row;
+}
+
+batch::job_spec from_row(const wire::batch_job& row)
+{
+    batch::job_spec job;
+    job.id = core::job_id(row.id());
+    job.organisation = core::organisation_id(row.organisation());
+    job.terms = from(row.terms());
+    job.payload = row.payload();
+    for (const wire::batch_step& step : row.steps())
+    {
+        job.steps.push_back(from(step));
+    }
+    job.occurrences = row.occurrences();
+    job.first_due = batch::unix_time{row.first_due_ms()};
+    job.interval = core::milliseconds{row.interval_ms()};
+    job.accepted = batch::unix_time{row.accepted_ms()};
+    return job;
+}
+
+wire::batch_progress to_row(const batch::job_progress& progress)
+{
+    wire::batch_progress row;
+    row.set_outcome(static_cast<wire::batch_outcome>(static_cast<int>(progress.outcome)));
+    for (const batch::done_units& done : progress.done)
+    {
+        wire::batch_done_units& each = *row.add_done();
+        each.set_occurrence(done.occurrence);
+        each.set_step(done.step);
+        for (const std::int64_t unit : done.units)
+        {
+            each.add_units(unit);
+        }
+    }
+    for (const batch::failed_run& failed : progress.failed)
+    {
+        wire::batch_failed_run& each = *row.add_failed();
+        each.set_occurrence(failed.occurrence);
+        each.set_step(failed.step);
+        each.set_unit(failed.unit);
+        each.set_run(failed.run);
+    }
+    for (const batch::agent_id& agent : progress.agents)
+    {
+        row.add_agents(agent.str());
+    }
+    return row;
+}
+
+batch::job_progress from_row(const wire::batch_progress& row)
+{
+    batch::job_progress progress;
+    progress.outcome = static_cast<batch::job_outcome>(static_cast<int>(row.outcome()));
+    for (const wire::batch_done_units& done : row.done())
+    {
+        progress.done.push_back(
+            {done.occurrence(), done.step(), {done.units().begin(), done.units().end()}});
+    }
+    for (const wire::batch_failed_run& failed : row.failed())
+    {
+        progress.failed.push_back(
+            {failed.occurrence(), failed.step(), failed.unit(), failed.run()});
+    }
+    for (const std::string& agent : row.agents())
+    {
+        progress.agents.insert(batch::agent_id(agent));
+    }
+    return progress;
+}
+
+wire::batch_worker to_message(const batch::worker_info& worker)
+{
+    wire::batch_worker message;
+    message.set_id(worker.id.str());
+    message.set_born_ms(worker.born.count());
+    message.set_service(worker.service.str());
+    fill(*message.mutable_capacity(), worker.capacity);
+    for (const std::string& label : worker.labels)
+    {
+        message.add_labels(label);
+    }
+    message.set_zone(worker.zone.str());
+    message.set_draining(worker.draining);
+    message.set_announced(worker.announced);
+    message.set_gone(worker.gone);
+    return message;
+}
+
+batch::worker_report from_message(const wire::batch_report& message)
+{
+    batch::worker_report report;
+    report.agent = batch::agent_id(message.agent());
+    report.worker = from(message.worker());
+    report.lists_valid = message.lists_valid();
+    report.leaving = message.leaving();
+    for (const wire::batch_run& run : message.runs())
+    {
+        const auto unit = batch::unit_key_from(run.unit());
+        if (unit.ok())
+        {
+            report.runs.push_back({*unit, run.run(),
+                                   static_cast<batch::run_phase>(static_cast<int>(run.phase())),
+                                   run.checkpoint(), run.percent()});
+        }
+    }
+    for (const wire::batch_end& end : message.ends())
+    {
+        const auto unit = batch::unit_key_from(end.unit());
+        if (unit.ok())
+        {
+            report.ends.push_back({end.number(), *unit, end.run(), from(end.kind()),
+                                   end.checkpoint(), end.reason()});
+        }
+    }
+    return report;
+}
+
+void add_runs(wire::batch_report& message, const std::vector<batch::reported_run>& runs)
+{
+    for (const batch::reported_run& run : runs)
+    {
+        wire::batch_run& each = *message.add_runs();
+        each.set_unit(batch::to_text(run.unit));
+        each.set_run(run.run);
+        each.set_phase(static_cast<wire::batch_run_phase>(static_cast<int>(run.phase)));
+        each.set_checkpoint(run.checkpoint);
+        each.set_percent(run.percent);
+    }
+}
+
+void add_ends(wire::batch_report& message, const std::vector<batch::reported_end>& ends)
+{
+    for (const batch::reported_end& end : ends)
+    {
+        wire::batch_end& each = *message.add_ends();
+        each.set_number(end.number);
+        each.set_unit(batch::to_text(end.unit));
+        each.set_run(end.run);
+        each.set_kind(to_message(end.kind));
+        each.set_checkpoint(end.checkpoint);
+        each.set_reason(end.reason);
+    }
+}
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/rows.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "chicorylift/batch/scheduler.hpp"
+#include "ports/table_service.hpp"
+#include "wire/batch.pb.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Rows of the table service and messages between processes, as kernel types and back.
+namespace chicorylift::site
+{
+
+/// Tables, and the one partition in which jobs and the lead's row change together.
+inline constexpr const char* job_table = "jobs";
+inline constexpr const char* lead_table = "lead";
+inline constexpr const char* member_table = "members";
+inline constexpr const char* site_partition = "site";
+inline constexpr const char* lead_key = "lead";
+
+/// Rows that a job has.
+enum class job_row_kind
+{
+    /// Written by the entry that accepts it; never changes.
+    accepted,
+    /// Written by the lead.
+    progress,
+    /// Written by an entry.
+    cancel,
+};
+
+/// Key of a job's row.
+struct job_row_key
+{
+    core::job_id job;
+    job_row_kind kind = job_row_kind::accepted;
+};
+
+[[nodiscard]] ports::row_place place_of(const core::job_id& job, job_row_kind kind);
+[[nodiscard]] ports::row_place lead_place();
+[[nodiscard]] ports::row_place member_place(const batch::agent_id& agent);
+[[nodiscard]] std::optional<job_row_key> job_row_key_from(std::string_view key);
+
+[[nodiscard]] wire::batch_job to_row(const batch::job_spec& job);
+[[nodiscard]] batch::job_spec from_row(const wire::batch_job& row);
+[[nodiscard]] wire::batch_progress to_row(const batch::job_progress& progress);
+[[nodiscard]] batch::job_progress from_row(const wire::batch_progress& row);
+
+[[nodiscard]] wire::batch_worker to_message(const batch::worker_info& worker);
+[[nodiscard]] batch::worker_report from_message(const wire::batch_report& message);
+void add_runs(wire::batch_report& message, const std::vector<batch::reported_run>& runs);
+void add_ends(wire::batch_report& message, const std::vector<batch::reported_end>& ends);
+
+} // namespace chicorylift::site
--- /dev/null
+++ b/src/site/settings.cpp
@@ -0,0 +1,219 @@
+#include "site/settings.hpp"
+
+#include "chicorylift/core/error.hpp"
+
+#include <CLI/CLI.hpp>
+#include <Poco/Net/SocketAddress.h>
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <string_view>
+
+namespace chicorylift::site
+{
+
+namespace
+{
+
+using core::error_kind;
+using core::make_error;
+
+constexpr std::string_view prefix = "CHICORYLIFT_";
+/// Set by whoever starts the process; names the settings file.
+constexpr const char* settings_file_variable = "CHICORYLIFT_BOOT";
+constexpr std::array<std::string_view, 17> variables{
+    "CHICORYLIFT_BOOT",          "CHICORYLIFT_ROLE",
+    "CHICORYLIFT_NAME",          "CHICORYLIFT_ZONE",
+    "CHICORYLIFT_REGION",        "CHICORYLIFT_LISTEN",
+    "CHICORYLIFT_FRONT",         "CHICORYLIFT_READY",
+    "CHICORYLIFT_METRICS",       "CHICORYLIFT_CONTROL",
+    "CHICORYLIFT_WORKER",        "CHICORYLIFT_STORE",
+    "CHICORYLIFT_LONGEST_LEASE_MS", "CHICORYLIFT_KEY_REVOCATION_MS",
+    "CHICORYLIFT_STOP_GRACE_MS", "CHICORYLIFT_REMOTE_FACTOR",
+    "CHICORYLIFT_MOST_CONNECTIONS",
+};
+
+absl::Status invalid(const std::string& setting, const std::string& value,
+                     const std::string& allowed)
+{
+    return make_error(error_kind::invalid_request,
+                      "setting --" + setting + " is \"" + value + "\"; allowed is " + allowed);
+}
+
+absl::Status check_address(const std::string& setting, const std::string& value)
+{
+    try
+    {
+        if (Poco::Net::SocketAddress(value).toString() == value)
+        {
+            return absl::OkStatus();
+        }
+    }
+    catch (const std::exception&)
+    {
+        // Reported below like every other malformed address.
+    }
+    return invalid(setting, value, "an IP number and a port, such as 127.0.0.1:7000");
+}
+
+absl::Status check_time(const std::string& setting, core::milliseconds value, std::int64_t least,
+                        std::int64_t most)
+{
+    if (value.count() >= least && value.count() <= most)
+    {
+        return absl::OkStatus();
+    }
+    return invalid(setting, std::to_string(value.count()),
+                   std::to_string(least) + " to " + std::to_string(most) + " ms");
+}
+
+void add_time(CLI::App& app, const std::string& name, core::milliseconds& value,
+              const std::string& variable, const std::string& help)
+{
+    app.add_option_function<std::int64_t>(
+           "--" + name, [&value](const std::int64_t& count) { value = core::milliseconds{count}; },
+           help)
+        ->envname(variable)
+        ->default_str(std::to_string(value.count()));
+}
+
+void add_options(CLI::App& app, settings& values)
+{
+    const char* const file = std::getenv(settings_file_variable);
+    app.set_config("--settings", file == nullptr ? "" : file,
+                   "settings file with one NAME = VALUE a line", file != nullptr);
+    app.add_option("--role", values.role, "entry or agent")->envname("CHICORYLIFT_ROLE");
+    app.add_option("--name", values.name, "unique name of this process")
+        ->envname("CHICORYLIFT_NAME");
+    app.add_option("--zone", values.zone, "availability zone")->envname("CHICORYLIFT_ZONE");
+    app.add_option("--region", values.region, "region")->envname("CHICORYLIFT_REGION");
+    app.add_option("--listen", values.listen, "IP number and port for other processes")
+        ->envname("CHICORYLIFT_LISTEN");
+    app.add_option("--front", values.front, "entry: IP number and port for callers")
+        ->envname("CHICORYLIFT_FRONT");
+    app.add_option("--ready", values.ready, "entry: IP number and port of the readiness check")
+        ->envname("CHICORYLIFT_READY");
+    app.add_option("--metrics", values.metrics, "IP number and port of the metrics")
+        ->envname("CHICORYLIFT_METRICS");
+    app.add_option("--control", values.control, "agent: IP number and port for its worker")
+        ->envname("CHICORYLIFT_CONTROL");
+    app.add_option("--worker", values.worker, "agent: IP number and port of its worker")
+        ->envname("CHICORYLIFT_WORKER");
+    app.add_option("--store", values.store, "IP number and port of the table service")
+        ->envname("CHICORYLIFT_STORE");
+    add_time(app, "longest-lease-ms", values.longest_lease, "CHICORYLIFT_LONGEST_LEASE_MS",
+             "longest lease that workers grant");
+    add_time(app, "key-revocation-ms", values.key_revocation, "CHICORYLIFT_KEY_REVOCATION_MS",
+             "time after which a removed key must not work any more");
+    add_time(app, "stop-grace-ms", values.stop_grace, "CHICORYLIFT_STOP_GRACE_MS",
+             "time that a stopping process is given");
+    app.add_option("--remote-factor", values.remote_factor,
+                   "factor on run times away from data or gang")
+        ->envname("CHICORYLIFT_REMOTE_FACTOR")
+        ->capture_default_str();
+    app.add_option("--most-connections", values.most_connections, "entry: open connections")
+        ->envname("CHICORYLIFT_MOST_CONNECTIONS")
+        ->capture_default_str();
+    app.add_flag("--check-settings", values.check_only, "check the settings and exit");
+}
+
+} // namespace
+
+absl::Status check_settings(const settings& values)
+{
+    std::vector<absl::Status> checks;
+    if (values.role != "entry" && values.role != "agent")
+    {
+        return invalid("role", values.role, "entry or agent");
+    }
+    if (values.name.empty())
+    {
+        return invalid("name", "", "a unique name");
+    }
+    checks.push_back(check_address("listen", values.listen));
+    checks.push_back(check_address("store", values.store));
+    if (!values.metrics.empty())
+    {
+        checks.push_back(check_address("metrics", values.metrics));
+    }
+    if (values.role == "entry")
+    {
+        checks.push_back(check_address("front", values.front));
+        checks.push_back(check_address("ready", values.ready));
+    }
+    else
+    {
+        checks.push_back(check_address("control", values.control));
+        checks.push_back(check_address("worker", values.worker));
+    }
+    constexpr std::int64_t hour_ms = 3'600'000;
+    // Shorter leases lapse before a new lead can renew them.
+    checks.push_back(check_time("longest-lease-ms", values.longest_lease, 3000, hour_ms));
+    checks.push_back(check_time("key-revocation-ms", values.key_revocation, 2500, hour_ms));
+    checks.push_back(check_time("stop-grace-ms", values.stop_grace, 500, hour_ms));
+    if (values.most_connections == 0)
+    {
+        checks.push_back(invalid("most-connections", "0", "at least 1"));
+    }
+    for (absl::Status& checked : checks)
+    {
+        if (!checked.ok())
+        {
+            return checked;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status check_environment(const char* const* environment)
+{
+    for (; environment != nullptr && *environment != nullptr; ++environment)
+    {
+        const std::string_view entry(*environment);
+        const std::string_view name = entry.substr(0, entry.find('='));
+        if (name.starts_with(prefix) &&
+            std::find(variables.begin(), variables.end(), name) == variables.end())
+        {
+            return make_error(error_kind::invalid_request,
+                              "environment variable \"" + std::string(name) +
+                                  "\" is not a setting");
+        }
+    }
+    return absl::OkStatus();
+}
+
+parsed_settings parse_settings(int argument_count, const char* const* arguments)
+{
+    constexpr int usage_error = 2;
+    parsed_settings parsed;
+    CLI::App app("chicoryliftd batch: schedules jobs of steps on the users' platform");
+    add_options(app, parsed.values);
+    try
+    {
+        app.parse(argument_count, arguments);
+    }
+    catch (const CLI::ParseError& fault)
+    {
+        const int code = app.exit(fault);
+        parsed.exit_code = code == 0 ? 0 : usage_error;
+        return parsed;
+    }
+    absl::Status checked = check_environment(environ);
+    if (checked.ok())
+    {
+        checked = check_settings(parsed.values);
+    }
+    if (!checked.ok())
+    {
+        std::cerr << "chicoryliftd: " << checked.message() << '\n';
+        parsed.exit_code = core::answer_for(core::kind_of(checked)).exit_code;
+    }
+    else if (parsed.values.check_only)
+    {
+        std::cout << "settings are valid\n";
+        parsed.exit_code = 0;
+    }
+    return parsed;
+}
+
+} // namespace chicorylift::site
