--- a/include/chicorylift/batch/run_table.hpp
+++ b/include/chicorylift/batch/run_table.hpp
@@ -48,8 +48,7 @@
     [[nodiscard]] std::optional<worker_action> on_start_order(const worker_action& start,
                                                               core::instant now);
     /// Takes in an order to stop; it also bars a run that is not there yet.
-    [[nodiscard]] std::optional<worker_action> on_stop_order(const run_key& key,
-                                                             core::instant now);
+    [[nodiscard]] std::optional<worker_action> on_stop_order(const run_key& key, core::instant now);
     void on_start_answer(const run_key& key, start_answer answer, const std::string& reason,
                          core::instant now);
     /// @param acknowledged whether the worker has carried the stop out or barred the run.
--- a/include/chicorylift/batch/site_config.hpp
+++ b/include/chicorylift/batch/site_config.hpp
@@ -41,8 +41,7 @@
     caller_limits limits;
 
     /// @return the queue whose host matches and whose prefix is the longest, or nullptr.
-    [[nodiscard]] const queue_route* find_route(std::string_view host,
-                                                std::string_view path) const;
+    [[nodiscard]] const queue_route* find_route(std::string_view host, std::string_view path) const;
     /// @return the terms of all queues.
     [[nodiscard]] std::map<queue_id, queue_terms> queues() const;
 };
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -113,8 +113,8 @@
     for (std::size_t index = numbers; index > 0 && valid; --index)
     {
         const std::size_t dot = rest.rfind('.');
-        valid = dot != std::string_view::npos &&
-                parse_number(rest.substr(dot + 1), values[index - 1]);
+        valid =
+            dot != std::string_view::npos && parse_number(rest.substr(dot + 1), values[index - 1]);
         rest = valid ? rest.substr(0, dot) : rest;
     }
     if (!valid || rest.empty())
--- a/src/batch/placing.cpp
+++ b/src/batch/placing.cpp
@@ -53,9 +53,8 @@
 }
 
 /// Fills the workers one after another, the fullest first.
-std::optional<std::vector<unit_placement>> fill(const step_spec& step,
-                                                const std::vector<std::int64_t>& units,
-                                                std::vector<worker_room> rooms)
+std::optional<std::vector<unit_placement>>
+fill(const step_spec& step, const std::vector<std::int64_t>& units, std::vector<worker_room> rooms)
 {
     const auto key = [&step](const worker_room& room)
     {
@@ -63,7 +62,8 @@
         return std::tuple(room.disliked, far, room.free.accelerators, room.free.millicores,
                           room.agent);
     };
-    std::sort(rooms.begin(), rooms.end(), [&key](const worker_room& left, const worker_room& right)
+    std::sort(rooms.begin(), rooms.end(),
+              [&key](const worker_room& left, const worker_room& right)
               { return key(left) < key(right); });
     std::vector<unit_placement> placed;
     for (const worker_room& room : rooms)
@@ -100,7 +100,8 @@
             }
         }
     }
-    std::sort(here.begin(), here.end(), [&victims](std::size_t left, std::size_t right)
+    std::sort(here.begin(), here.end(),
+              [&victims](std::size_t left, std::size_t right)
               { return victims[left].cost < victims[right].cost; });
     const std::int64_t before = units_fitting(step, room, many);
     clearing result;
--- a/src/batch/placing.hpp
+++ b/src/batch/placing.hpp
@@ -55,9 +55,10 @@
             const std::vector<worker_room>& rooms, placing_rules rules);
 
 /// Finds the cheapest runs to stop so that all units fit.
-[[nodiscard]] std::optional<reclaim_plan>
-plan_reclaim(const step_spec& step, const std::vector<std::int64_t>& units,
-             const std::vector<worker_room>& rooms, const std::vector<victim>& victims,
-             placing_rules rules);
+[[nodiscard]] std::optional<reclaim_plan> plan_reclaim(const step_spec& step,
+                                                       const std::vector<std::int64_t>& units,
+                                                       const std::vector<worker_room>& rooms,
+                                                       const std::vector<victim>& victims,
+                                                       placing_rules rules);
 
 } // namespace chicorylift::batch
--- a/src/batch/run_table.cpp
+++ b/src/batch/run_table.cpp
@@ -58,8 +58,8 @@
     return worker_action{worker_action::kind::stop, key.first, key.second, {}, {}};
 }
 
-void run_table::on_start_answer(const run_key& key, start_answer answer,
-                                const std::string& reason, core::instant now)
+void run_table::on_start_answer(const run_key& key, start_answer answer, const std::string& reason,
+                                core::instant now)
 {
     const auto found = this->entries.find(key);
     if (found == this->entries.end())
@@ -187,9 +187,8 @@
     std::vector<worker_action> actions;
     for (auto& [key, known] : this->entries)
     {
-        const bool unanswered =
-            known.phase == run_phase::starting ||
-            (known.phase == run_phase::stopping && !known.stop_acknowledged);
+        const bool unanswered = known.phase == run_phase::starting ||
+                                (known.phase == run_phase::stopping && !known.stop_acknowledged);
         if (!unanswered || known.in_flight || known.retry_at > now)
         {
             continue;
@@ -197,8 +196,8 @@
         known.in_flight = true;
         ++known.tries;
         const bool stop = known.phase == run_phase::stopping;
-        actions.push_back({stop ? worker_action::kind::stop : worker_action::kind::start,
-                           key.first, key.second, stop ? std::string{} : known.payload,
+        actions.push_back({stop ? worker_action::kind::stop : worker_action::kind::start, key.first,
+                           key.second, stop ? std::string{} : known.payload,
                            stop ? std::string{} : known.start_checkpoint});
     }
     return actions;
@@ -226,9 +225,11 @@
 
 bool run_table::has_open_orders() const noexcept
 {
-    return std::any_of(this->entries.begin(), this->entries.end(), [](const auto& each)
-                       { return !each.second.confirmed ||
-                                each.second.phase == run_phase::stopping; });
+    return std::any_of(this->entries.begin(), this->entries.end(),
+                       [](const auto& each) {
+                           return !each.second.confirmed ||
+                                  each.second.phase == run_phase::stopping;
+                       });
 }
 
 void run_table::never_started(const run_key& key, const std::string& reason)
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -228,8 +228,8 @@
             list.push_back(id);
         }
     }
-    std::stable_partition(list.begin(), list.end(), [this](const core::job_id& id)
-                          { return this->is_write_urgent(id); });
+    std::stable_partition(list.begin(), list.end(),
+                          [this](const core::job_id& id) { return this->is_write_urgent(id); });
     return list;
 }
 
@@ -309,8 +309,7 @@
 std::optional<job_outcome> site_scheduler::outcome_of(const core::job_id& job) const
 {
     const auto found = this->inner->jobs.find(job);
-    return found == this->inner->jobs.end() ? std::nullopt
-                                            : std::optional(found->second.outcome);
+    return found == this->inner->jobs.end() ? std::nullopt : std::optional(found->second.outcome);
 }
 
 std::size_t site_scheduler::open_runs() const noexcept
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -38,8 +38,8 @@
     void mark_done(job_state& job, run_state& run, member_state& member);
     void mark_unit_done(job_state& job, std::int64_t occurrence, std::int64_t step,
                         std::int64_t index);
-    void mark_failed(job_state& job, std::int64_t occurrence, std::int64_t step,
-                     std::int64_t index, run_number run, const agent_id& agent);
+    void mark_failed(job_state& job, std::int64_t occurrence, std::int64_t step, std::int64_t index,
+                     run_number run, const agent_id& agent);
     void record_success(const agent_id& agent);
     void record_failure(const agent_id& agent, core::instant now);
     void close_if_ended(run_number run, core::instant now);
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -180,9 +180,9 @@
             {
                 step_state& state = steps[number];
                 const step_spec& spec = job.spec.steps[number];
-                const bool blocked =
-                    std::any_of(spec.after.begin(), spec.after.end(), [&](std::int64_t earlier)
-                                { return !steps[at(earlier)].is_done(); });
+                const bool blocked = std::any_of(spec.after.begin(), spec.after.end(),
+                                                 [&](std::int64_t earlier)
+                                                 { return !steps[at(earlier)].is_done(); });
                 if (blocked || state.is_done())
                 {
                     continue;
@@ -212,8 +212,8 @@
             }
         }
     }
-    std::stable_sort(groups.begin(), groups.end(), [](const work_group& left,
-                                                      const work_group& right)
+    std::stable_sort(groups.begin(), groups.end(),
+                     [](const work_group& left, const work_group& right)
                      { return left.rank < right.rank; });
     return groups;
 }
@@ -242,18 +242,16 @@
     constexpr double tier = 1e9;
     const job_state& job = *group.job;
     group.guaranteed = this->is_guaranteed(job);
-    const double waited =
-        static_cast<double>((group.waiting_since - this->takeover).count());
+    const double waited = static_cast<double>((group.waiting_since - this->takeover).count());
     if (group.guaranteed)
     {
         group.rank = -tier + waited;
         return;
     }
     const core::milliseconds chain = job.spec.longest_chain();
-    const auto objective =
-        core::milliseconds{static_cast<std::int64_t>(static_cast<double>(chain.count()) *
-                                                     job.terms.slowdown)} +
-        job.terms.target_latency;
+    const auto objective = core::milliseconds{static_cast<std::int64_t>(
+                               static_cast<double>(chain.count()) * job.terms.slowdown)} +
+                           job.terms.target_latency;
     const bool late = job.spec.occurrences == 0 && now - job.arrived + chain > objective;
     const step_spec& step = this->spec_of(group);
     const double size = static_cast<double>(step.per_unit.accelerators + 1) *
@@ -301,10 +299,8 @@
            std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
 }
 
-std::vector<worker_room>
-site_scheduler::implementation::rooms_for(const work_group& group,
-                                          const std::map<agent_id, amount>& available,
-                                          core::instant now) const
+std::vector<worker_room> site_scheduler::implementation::rooms_for(
+    const work_group& group, const std::map<agent_id, amount>& available, core::instant now) const
 {
     const step_spec& step = this->spec_of(group);
     std::map<agent_id, std::int64_t> held;
@@ -357,8 +353,8 @@
                 times_fitting(step.room(), worker.info.capacity, step.units);
         }
     }
-    return std::any_of(fitting.begin(), fitting.end(), [&step](const auto& rack)
-                       { return rack.second >= step.units; });
+    return std::any_of(fitting.begin(), fitting.end(),
+                       [&step](const auto& rack) { return rack.second >= step.units; });
 }
 
 placing_rules site_scheduler::implementation::rules_for(const work_group& group,
@@ -367,14 +363,17 @@
     const step_spec& step = this->spec_of(group);
     const bool patient = now - group.waiting_since < this->settings.rack_patience;
     placing_rules rules;
-    rules.one_rack = step.rack_local && step.gang && this->fits_one_rack(group) &&
-                     (patient || group.guaranteed);
+    rules.one_rack =
+        step.rack_local && step.gang && this->fits_one_rack(group) && (patient || group.guaranteed);
     if (!step.data_rack.empty() && patient)
     {
         rules.data_rack_only =
-            std::any_of(this->workers.begin(), this->workers.end(), [&step](const auto& each)
-                        { return each.second.info.rack.str() == step.data_rack &&
-                                 !each.second.lost && !each.second.info.draining; });
+            std::any_of(this->workers.begin(), this->workers.end(),
+                        [&step](const auto& each)
+                        {
+                            return each.second.info.rack.str() == step.data_rack &&
+                                   !each.second.lost && !each.second.info.draining;
+                        });
     }
     return rules;
 }
@@ -395,9 +394,9 @@
                                                  std::map<agent_id, amount>& available,
                                                  core::instant now)
 {
-    const auto placed = place_units(this->spec_of(group), group.units,
-                                    this->rooms_for(group, available, now),
-                                    this->rules_for(group, now));
+    const auto placed =
+        place_units(this->spec_of(group), group.units, this->rooms_for(group, available, now),
+                    this->rules_for(group, now));
     if (!placed.has_value())
     {
         return false;
@@ -555,8 +554,7 @@
         }
         for (member_state& member : run.members)
         {
-            const bool due =
-                !member.ordered || now - member.last_order > this->settings.resend;
+            const bool due = !member.ordered || now - member.last_order > this->settings.resend;
             const bool wanted = run.stopping || !member.confirmed;
             if (member.ended || !due || !wanted)
             {
@@ -569,9 +567,8 @@
             next.run = number;
             if (!run.stopping && job != this->jobs.end())
             {
-                const unit_state& unit =
-                    job->second.occurrences.at(run.occurrence)[at(run.step)]
-                        .units[at(member.index)];
+                const unit_state& unit = job->second.occurrences.at(run.occurrence)[at(run.step)]
+                                             .units[at(member.index)];
                 next.payload = job->second.spec.payload;
                 next.checkpoint = unit.checkpoint;
             }
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -64,8 +64,8 @@
     worker.reported = true;
     worker.leaving = report.leaving;
     const bool has_life = report.worker.born.count() != 0;
-    const bool reborn = has_life && worker.info.born.count() != 0 &&
-                        report.worker.born != worker.info.born;
+    const bool reborn =
+        has_life && worker.info.born.count() != 0 && report.worker.born != worker.info.born;
     this->take_info(worker, report, now);
     if (reborn)
     {
@@ -172,8 +172,8 @@
 void site_scheduler::implementation::take_end_of_unknown_run(worker_state& worker, job_state& job,
                                                              const reported_end& end)
 {
-    unit_state& unit = job.occurrences[end.unit.occurrence][at(end.unit.step)]
-                           .units[at(end.unit.index)];
+    unit_state& unit =
+        job.occurrences[end.unit.occurrence][at(end.unit.step)].units[at(end.unit.index)];
     const bool gang = job.spec.steps[at(end.unit.step)].gang;
     // A run that was given up has been replaced, or is about to be.
     if (unit.given_up.contains(end.run) || unit.done)
@@ -222,8 +222,7 @@
         member->confirmed = true;
     }
     member->phase = reported.phase;
-    member->checkpoint =
-        reported.checkpoint.empty() ? member->checkpoint : reported.checkpoint;
+    member->checkpoint = reported.checkpoint.empty() ? member->checkpoint : reported.checkpoint;
     if (reported.percent != member->percent || reported.phase != run_phase::running)
     {
         member->percent = reported.percent;
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -25,8 +25,8 @@
 
 std::string_view to_text(end_kind kind) noexcept
 {
-    constexpr std::array<std::string_view, 7> names{
-        "done", "failed", "stopped", "lapsed", "broken", "alone", "never_started"};
+    constexpr std::array<std::string_view, 7> names{"done",   "failed", "stopped",      "lapsed",
+                                                    "broken", "alone",  "never_started"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -36,8 +36,8 @@
     this->records.push_back({event, job, std::move(detail)});
 }
 
-void site_scheduler::implementation::end_member(run_state& run, member_state& member,
-                                                end_kind kind, const std::string& checkpoint,
+void site_scheduler::implementation::end_member(run_state& run, member_state& member, end_kind kind,
+                                                const std::string& checkpoint,
                                                 const agent_id& agent, core::instant now)
 {
     member.ended = true;
@@ -49,8 +49,7 @@
     if (found != this->jobs.end())
     {
         job_state& job = found->second;
-        unit_state& unit =
-            job.occurrences[run.occurrence][at(run.step)].units[at(member.index)];
+        unit_state& unit = job.occurrences[run.occurrence][at(run.step)].units[at(member.index)];
         if (!member.checkpoint.empty())
         {
             unit.checkpoint = member.checkpoint;
@@ -82,8 +81,7 @@
     }
 }
 
-void site_scheduler::implementation::mark_done(job_state& job, run_state& run,
-                                               member_state& member)
+void site_scheduler::implementation::mark_done(job_state& job, run_state& run, member_state& member)
 {
     if (!run.gang)
     {
--- a/src/batch/site_config.cpp
+++ b/src/batch/site_config.cpp
@@ -14,15 +14,15 @@
 bool is_job_id(std::string_view text)
 {
     return text.size() == job_id_digits &&
-           std::all_of(text.begin(), text.end(), [](unsigned char letter)
-                       { return std::isxdigit(letter) != 0; });
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char letter) { return std::isxdigit(letter) != 0; });
 }
 
 std::string lower(std::string_view text)
 {
     std::string copy(text);
-    std::transform(copy.begin(), copy.end(), copy.begin(), [](unsigned char letter)
-                   { return static_cast<char>(std::tolower(letter)); });
+    std::transform(copy.begin(), copy.end(), copy.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
     return copy;
 }
 
@@ -73,9 +73,9 @@
     const queue_route* best = nullptr;
     for (const queue_route& route : this->routes)
     {
-        const bool matches = plain_host(route.host) == wanted && path.starts_with(route.path_prefix);
-        if (matches &&
-            (best == nullptr || route.path_prefix.size() > best->path_prefix.size()))
+        const bool matches =
+            plain_host(route.host) == wanted && path.starts_with(route.path_prefix);
+        if (matches && (best == nullptr || route.path_prefix.size() > best->path_prefix.size()))
         {
             best = &route;
         }
--- a/src/net/async_http_client.cpp
+++ b/src/net/async_http_client.cpp
@@ -27,8 +27,8 @@
 
 std::string print(const client_request& request)
 {
-    std::string text = request.method + " " + request.path + " HTTP/1.1\r\nHost: " +
-                       request.address + "\r\n";
+    std::string text =
+        request.method + " " + request.path + " HTTP/1.1\r\nHost: " + request.address + "\r\n";
     for (const http_header& header : request.headers)
     {
         text += header.name + ": " + header.value + "\r\n";
@@ -82,17 +82,16 @@
         state->on_outcome = std::move(on_outcome);
         destination& to = this->destinations[state->request.address];
         const std::weak_ptr<implementation> self = this->shared_from_this();
-        state->timer =
-            this->loop.after(state->request.answer_patience,
-                             [self, weak = std::weak_ptr<exchange_state>(state)]
-                             {
-                                 const auto alive = self.lock();
-                                 const auto late = weak.lock();
-                                 if (alive != nullptr && late != nullptr)
-                                 {
-                                     alive->on_timeout(late);
-                                 }
-                             });
+        state->timer = this->loop.after(state->request.answer_patience,
+                                        [self, weak = std::weak_ptr<exchange_state>(state)]
+                                        {
+                                            const auto alive = self.lock();
+                                            const auto late = weak.lock();
+                                            if (alive != nullptr && late != nullptr)
+                                            {
+                                                alive->on_timeout(late);
+                                            }
+                                        });
         if (this->try_assign(to, state))
         {
             return;
@@ -150,9 +149,8 @@
         {
             const auto failed = here->current;
             to.connections.erase(here);
-            this->finish(failed, make_error(error_kind::no_upstream, failed->request.address +
-                                                                         ": " +
-                                                                         fault.displayText()));
+            this->finish(failed, make_error(error_kind::no_upstream,
+                                            failed->request.address + ": " + fault.displayText()));
             return;
         }
         const std::weak_ptr<implementation> self = this->shared_from_this();
@@ -355,9 +353,9 @@
         this->close(here);
         if (lost != nullptr)
         {
-            this->finish(lost, make_error(connected ? error_kind::outcome_unknown
-                                                    : error_kind::no_upstream,
-                                          address + lost->request.path + ": " + why));
+            this->finish(
+                lost, make_error(connected ? error_kind::outcome_unknown : error_kind::no_upstream,
+                                 address + lost->request.path + ": " + why));
         }
         this->assign_waiting(address);
     }
@@ -434,10 +432,7 @@
         }
     }
 
-    static int descriptor(handle here)
-    {
-        return static_cast<int>(here->socket.impl()->sockfd());
-    }
+    static int descriptor(handle here) { return static_cast<int>(here->socket.impl()->sockfd()); }
 
     event_loop& loop;
     async_client_limits limits;
--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -24,8 +24,8 @@
 {
     batch::election_settings result;
     // Each agent has its own place in the order in which they stand.
-    result.jitter = jitter_step * static_cast<std::int64_t>(std::hash<std::string>{}(name) %
-                                                            jitter_steps);
+    result.jitter =
+        jitter_step * static_cast<std::int64_t>(std::hash<std::string>{}(name) % jitter_steps);
     return result;
 }
 
@@ -43,8 +43,7 @@
     small.largest_body = 4U << 20U;
     this->control = std::make_unique<net::async_http_server>(
         loop, this->values.control, small,
-        [this](const net::server_request& request,
-               const net::async_http_server::responder& respond)
+        [this](const net::server_request& request, const net::async_http_server::responder& respond)
         { this->answer_worker(request, respond); });
     if (!this->values.metrics.empty())
     {
@@ -66,9 +65,7 @@
     this->wires = std::make_unique<net::transport>(
         wires_settings,
         [this](wire::envelope message)
-        {
-            this->loop.post([this, message = std::move(message)] { this->receive(message); });
-        },
+        { this->loop.post([this, message = std::move(message)] { this->receive(message); }); },
         [this](const std::string& address, const wire::envelope&)
         { this->loop.post([this, address] { this->on_bounce(address); }); });
     this->register_member();
--- a/src/site/agent_lead.cpp
+++ b/src/site/agent_lead.cpp
@@ -126,8 +126,8 @@
     for (const wire::batch_stop& stop : orders.stops())
     {
         const auto unit = batch::unit_key_from(stop.unit());
-        const auto action = unit.ok() ? this->runs.on_stop_order({*unit, stop.run()}, now)
-                                      : std::nullopt;
+        const auto action =
+            unit.ok() ? this->runs.on_stop_order({*unit, stop.run()}, now) : std::nullopt;
         if (action.has_value())
         {
             this->carry_out(*action);
@@ -180,9 +180,9 @@
         answer.set_answer(true);
         answer.set_epoch(this->epoch);
         const bool leads = this->leading != nullptr;
-        answer.set_lead_heard(leads || this->epoch > probe.epoch() ||
-                              (this->epoch == probe.epoch() && this->epoch != 0 &&
-                               this->election.hears_lead(now)));
+        answer.set_lead_heard(
+            leads || this->epoch > probe.epoch() ||
+            (this->epoch == probe.epoch() && this->epoch != 0 && this->election.hears_lead(now)));
         answer.set_lead_address(this->lead_address);
         answer.set_lead(this->lead_name);
         this->send(from, std::move(reply));
@@ -369,19 +369,19 @@
     ports::transaction changes;
     changes.conditions.push_back({lead_place(), version});
     changes.writes.push_back({lead_place(), row.SerializeAsString()});
-    this->store->commit(
-        changes, store_patience,
-        [this, next_epoch](const ports::commit_outcome& outcome)
-        {
-            if (outcome.state == ports::commit_state::applied && next_epoch > this->epoch)
-            {
-                this->begin_leading(next_epoch, outcome.version);
-                return;
-            }
-            // A lost answer is settled by the next reading: a row of this process is taken over
-            // with a higher epoch.
-            this->election.on_stand_failed(core::boot_clock::now());
-        });
+    this->store->commit(changes, store_patience,
+                        [this, next_epoch](const ports::commit_outcome& outcome)
+                        {
+                            if (outcome.state == ports::commit_state::applied &&
+                                next_epoch > this->epoch)
+                            {
+                                this->begin_leading(next_epoch, outcome.version);
+                                return;
+                            }
+                            // A lost answer is settled by the next reading: a row of this process
+                            // is taken over with a higher epoch.
+                            this->election.on_stand_failed(core::boot_clock::now());
+                        });
 }
 
 void agent::begin_leading(std::uint64_t next_epoch, ports::revision version)
@@ -390,16 +390,15 @@
     this->follow(next_epoch, this->values.listen, this->values.name);
     this->election.on_lead_heard(core::boot_clock::now());
     this->leading = std::make_unique<lead>(
-        lead_surroundings{
-            this->loop, this->values, *this->store, this->figures,
-            [this](const std::string& address, wire::envelope message)
-            { this->send(address, std::move(message)); },
-            [this](const std::string&)
-            {
-                this->leading.reset();
-                this->next_lead_read = {};
-                this->read_lead_row(false);
-            }},
+        lead_surroundings{this->loop, this->values, *this->store, this->figures,
+                          [this](const std::string& address, wire::envelope message)
+                          { this->send(address, std::move(message)); },
+                          [this](const std::string&)
+                          {
+                              this->leading.reset();
+                              this->next_lead_read = {};
+                              this->read_lead_row(false);
+                          }},
         next_epoch, version, loose);
     this->schedule_look(core::milliseconds{0});
     this->report_soon();
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -75,8 +75,8 @@
 void agent::on_announcement(const ports::announcement& said)
 {
     const batch::worker_info& now_said = said.worker;
-    const bool same_life = this->info.announced && this->info.id == now_said.id &&
-                           this->info.born == now_said.born;
+    const bool same_life =
+        this->info.announced && this->info.id == now_said.id && this->info.born == now_said.born;
     if (this->info.announced && now_said.born < this->info.born)
     {
         // Sent by an earlier life and delayed on its way.
@@ -100,13 +100,12 @@
     this->worker_left = false;
     if (changed)
     {
-        events::write("worker_announced",
-                      {{"worker", now_said.id.str()},
-                       {"born_ms", now_said.born.count()},
-                       {"draining", now_said.draining ? "yes" : "no"},
-                       {"accelerators", now_said.capacity.accelerators},
-                       {"rack", now_said.rack.str()},
-                       {"sequence", said.sequence}});
+        events::write("worker_announced", {{"worker", now_said.id.str()},
+                                           {"born_ms", now_said.born.count()},
+                                           {"draining", now_said.draining ? "yes" : "no"},
+                                           {"accelerators", now_said.capacity.accelerators},
+                                           {"rack", now_said.rack.str()},
+                                           {"sequence", said.sequence}});
         this->report_soon();
     }
     if (!same_life)
@@ -236,10 +235,9 @@
     {
         this->info.gone = true;
         this->lists_valid = false;
-        events::write("worker_silent",
-                      {{"worker", this->info.id.str()},
-                       {"reason", why},
-                       {"for_ms", (now - this->worker_answered).count()}});
+        events::write("worker_silent", {{"worker", this->info.id.str()},
+                                        {"reason", why},
+                                        {"for_ms", (now - this->worker_answered).count()}});
         this->report_soon();
     }
 }
@@ -249,21 +247,21 @@
     const batch::run_table::run_key key{action.unit, action.run};
     if (action.what == batch::worker_action::kind::stop)
     {
-        this->worker->stop(
-            this->info.id, action.unit, action.run, this->epoch,
-            [this, key](const ports::order_outcome& outcome)
-            {
-                if (outcome.result != ports::order_result::accepted)
-                {
-                    events::write("order_lost", {{"unit", batch::to_text(key.first)},
-                                                 {"run", key.second},
-                                                 {"order", "stop"},
-                                                 {"reason", outcome.reason}});
-                }
-                this->runs.on_stop_answer(key, outcome.result == ports::order_result::accepted,
-                                          core::boot_clock::now());
-                this->schedule_look(core::milliseconds{0});
-            });
+        this->worker->stop(this->info.id, action.unit, action.run, this->epoch,
+                           [this, key](const ports::order_outcome& outcome)
+                           {
+                               if (outcome.result != ports::order_result::accepted)
+                               {
+                                   events::write("order_lost", {{"unit", batch::to_text(key.first)},
+                                                                {"run", key.second},
+                                                                {"order", "stop"},
+                                                                {"reason", outcome.reason}});
+                               }
+                               this->runs.on_stop_answer(
+                                   key, outcome.result == ports::order_result::accepted,
+                                   core::boot_clock::now());
+                               this->schedule_look(core::milliseconds{0});
+                           });
         return;
     }
     ports::worker_start start;
@@ -273,24 +271,24 @@
     start.payload = action.payload;
     start.checkpoint = action.checkpoint;
     start.lease_until = this->lease.end_on_worker(core::boot_clock::now());
-    this->worker->start(
-        this->info.id, start,
-        [this, key](const ports::order_outcome& outcome)
-        {
-            const bool started = outcome.result == ports::order_result::accepted;
-            events::write(started                                              ? "run_started"
-                          : outcome.result == ports::order_result::unknown ? "order_lost"
-                                                                              : "start_refused",
-                          {{"unit", batch::to_text(key.first)},
-                           {"run", key.second},
-                           {"worker", this->info.id.str()},
-                           {"epoch", this->epoch},
-                           {"reason", outcome.reason}});
-            this->figures.count("starts", started ? "accepted" : outcome.reason);
-            this->runs.on_start_answer(key, answer_of(outcome.result), outcome.reason,
-                                       core::boot_clock::now());
-            this->report_soon();
-        });
+    this->worker->start(this->info.id, start,
+                        [this, key](const ports::order_outcome& outcome)
+                        {
+                            const bool started = outcome.result == ports::order_result::accepted;
+                            events::write(started ? "run_started"
+                                          : outcome.result == ports::order_result::unknown
+                                              ? "order_lost"
+                                              : "start_refused",
+                                          {{"unit", batch::to_text(key.first)},
+                                           {"run", key.second},
+                                           {"worker", this->info.id.str()},
+                                           {"epoch", this->epoch},
+                                           {"reason", outcome.reason}});
+                            this->figures.count("starts", started ? "accepted" : outcome.reason);
+                            this->runs.on_start_answer(key, answer_of(outcome.result),
+                                                       outcome.reason, core::boot_clock::now());
+                            this->report_soon();
+                        });
 }
 
 void agent::check_orders()
--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -43,8 +43,9 @@
 std::string_view to_text(batch::call_refusal refusal)
 {
     constexpr std::array<std::string_view, 7> names{
-        "none",        "no configuration yet", "configuration not confirmed", "unknown queue",
-        "unknown key", "unknown path",         "unknown method"};
+        "none",          "no configuration yet", "configuration not confirmed",
+        "unknown queue", "unknown key",          "unknown path",
+        "unknown method"};
     return names.at(static_cast<std::size_t>(refusal));
 }
 
@@ -166,8 +167,8 @@
     auto read = platform::read_config(row.value);
     if (!read.ok())
     {
-        events::write("config_rejected",
-                      {{"row_version", row.version}, {"reason", std::string(read.status().message())}});
+        events::write("config_rejected", {{"row_version", row.version},
+                                          {"reason", std::string(read.status().message())}});
         return;
     }
     if (this->config.has_value() && read->version < this->config->version)
@@ -438,34 +439,31 @@
 
 void entry::show(const batch::resolved_call& call, const responder& respond)
 {
-    this->read_job(call.job, commit_patience,
-                   [this, call, respond](const absl::StatusOr<std::optional<seen_job>>& job)
-                   {
-                       if (!job.ok())
-                       {
-                           events::write("call_refused",
-                                         {{"job", call.job.str()},
-                                          {"reason", std::string(job.status().message())}});
-                           respond(platform::print_answer(front_answer::not_run,
-                                                          "the store does not answer",
-                                                          this->come_back()));
-                           return;
-                       }
-                       if (!job->has_value() || (*job)->organisation != call.organisation)
-                       {
-                           respond(platform::print_answer(front_answer::not_there,
-                                                          "no such job", {}));
-                           return;
-                       }
-                       const platform::shown_state state = (*job)->state();
-                       if (state >= platform::shown_state::completed)
-                       {
-                           events::write("job_shown",
-                                         {{"job", call.job.str()},
-                                          {"state", static_cast<std::int64_t>(state)}});
-                       }
-                       respond(platform::print_state(state));
-                   });
+    this->read_job(
+        call.job, commit_patience,
+        [this, call, respond](const absl::StatusOr<std::optional<seen_job>>& job)
+        {
+            if (!job.ok())
+            {
+                events::write("call_refused", {{"job", call.job.str()},
+                                               {"reason", std::string(job.status().message())}});
+                respond(platform::print_answer(front_answer::not_run, "the store does not answer",
+                                               this->come_back()));
+                return;
+            }
+            if (!job->has_value() || (*job)->organisation != call.organisation)
+            {
+                respond(platform::print_answer(front_answer::not_there, "no such job", {}));
+                return;
+            }
+            const platform::shown_state state = (*job)->state();
+            if (state >= platform::shown_state::completed)
+            {
+                events::write("job_shown", {{"job", call.job.str()},
+                                            {"state", static_cast<std::int64_t>(state)}});
+            }
+            respond(platform::print_state(state));
+        });
 }
 
 void entry::count_waiting(const batch::resolved_call& call, const responder& respond)
@@ -494,9 +492,8 @@
         {
             if (!job.ok())
             {
-                open->respond(platform::print_answer(front_answer::not_run,
-                                                     "the store does not answer",
-                                                     this->come_back()));
+                open->respond(platform::print_answer(
+                    front_answer::not_run, "the store does not answer", this->come_back()));
                 return;
             }
             if (!job->has_value() || (*job)->organisation != call.organisation)
@@ -545,8 +542,7 @@
         open->respond(platform::print_answer(front_answer::not_there, "no such job", {}));
         return;
     }
-    open->may_be_stored =
-        open->may_be_stored || outcome.state == ports::commit_state::unknown;
+    open->may_be_stored = open->may_be_stored || outcome.state == ports::commit_state::unknown;
     if (core::boot_clock::now() + retry_pause >= open->limit)
     {
         open->respond(platform::print_answer(open->may_be_stored ? front_answer::unknown_outcome
--- a/src/site/job_view.cpp
+++ b/src/site/job_view.cpp
@@ -70,7 +70,7 @@
 {
     const auto found = this->jobs.find(job);
     return found == this->jobs.end() || found->second.accepted_version == 0 ? nullptr
-                                                                           : &found->second;
+                                                                            : &found->second;
 }
 
 std::size_t job_view::waiting(const batch::queue_id& queue) const
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -93,8 +93,7 @@
         [this](const ports::row& row) { this->on_config_row(row); },
         [this] { this->load_jobs_if_ready(); });
     this->job_rows = std::make_unique<mirrored_table>(
-        this->around.loop, this->around.store,
-        mirror_settings{job_table, site_partition, job_wait},
+        this->around.loop, this->around.store, mirror_settings{job_table, site_partition, job_wait},
         [this](const ports::row& row) { this->on_job_row(row); },
         [this] { this->load_jobs_if_ready(); });
     this->lead_rows = std::make_unique<mirrored_table>(
@@ -232,12 +231,12 @@
     }
     this->scheduler.add_job(from_row(stored), {}, this->cancel_rows.contains(id),
                             this->around.loop.now());
-    events::write("job_known",
-                  {{"job", id.str()},
-                   {"queue", stored.terms().queue()},
-                   {"organisation", stored.organisation()},
-                   {"accepted_ms_ago", (unix_now() - batch::unix_time{stored.accepted_ms()}).count()},
-                   {"row_version", row.version}});
+    events::write("job_known", {{"job", id.str()},
+                                {"queue", stored.terms().queue()},
+                                {"organisation", stored.organisation()},
+                                {"accepted_ms_ago",
+                                 (unix_now() - batch::unix_time{stored.accepted_ms()}).count()},
+                                {"row_version", row.version}});
     this->schedule_pass();
 }
 
@@ -258,17 +257,16 @@
         {
             progress = from_row(written->second);
         }
-        const bool cancelled = this->cancel_rows.contains(id) &&
-                               progress.outcome == batch::job_outcome::open;
+        const bool cancelled =
+            this->cancel_rows.contains(id) && progress.outcome == batch::job_outcome::open;
         open += progress.outcome == batch::job_outcome::open && !cancelled ? 1 : 0;
         this->scheduler.add_job(from_row(stored), progress, cancelled, this->around.loop.now());
     }
-    events::write("lead_taken",
-                  {{"epoch", this->my_epoch},
-                   {"jobs", static_cast<std::uint64_t>(this->waiting_rows.size())},
-                   {"open_jobs", open},
-                   {"agents", static_cast<std::uint64_t>(this->agents.size())},
-                   {"took_ms", (core::boot_clock::now() - this->began).count()}});
+    events::write("lead_taken", {{"epoch", this->my_epoch},
+                                 {"jobs", static_cast<std::uint64_t>(this->waiting_rows.size())},
+                                 {"open_jobs", open},
+                                 {"agents", static_cast<std::uint64_t>(this->agents.size())},
+                                 {"took_ms", (core::boot_clock::now() - this->began).count()}});
     this->waiting_rows.clear();
     this->progress_rows.clear();
     this->around.figures.count("lead", "taken");
@@ -531,10 +529,9 @@
                                          outcome.version);
             this->scheduler.on_written(job, change);
         }
-        events::write("progress_written",
-                      {{"jobs", static_cast<std::uint64_t>(changes.size())},
-                       {"row_version", outcome.version},
-                       {"epoch", this->my_epoch}});
+        events::write("progress_written", {{"jobs", static_cast<std::uint64_t>(changes.size())},
+                                           {"row_version", outcome.version},
+                                           {"epoch", this->my_epoch}});
         break;
     case ports::commit_state::conflict:
         this->write_failing_since = {};
@@ -626,10 +623,9 @@
     {
         this->confirmed = false;
         this->woke = now;
-        events::write("lead_suspected",
-                      {{"epoch", this->my_epoch},
-                       {"reason", "this process stood still"},
-                       {"for_ms", (now - this->last_tick).count()}});
+        events::write("lead_suspected", {{"epoch", this->my_epoch},
+                                         {"reason", "this process stood still"},
+                                         {"for_ms", (now - this->last_tick).count()}});
         for (auto& [name, state] : this->agents)
         {
             state.heard = {};
@@ -646,28 +642,27 @@
 {
     this->confirming = true;
     const std::weak_ptr<bool> still = this->alive;
-    this->around.store.read(
-        lead_table, site_partition, lead_key, 1, write_patience,
-        [this, still](const absl::StatusOr<ports::row_page>& page)
-        {
-            if (still.expired())
-            {
-                return;
-            }
-            this->confirming = false;
-            if (page.ok() && !page->rows.empty())
-            {
-                if (page->rows.front().version == this->row_version)
-                {
-                    this->confirmed = true;
-                    this->schedule_pass();
-                }
-                else
-                {
-                    this->step_down("the lead's row has changed");
-                }
-            }
-        });
+    this->around.store.read(lead_table, site_partition, lead_key, 1, write_patience,
+                            [this, still](const absl::StatusOr<ports::row_page>& page)
+                            {
+                                if (still.expired())
+                                {
+                                    return;
+                                }
+                                this->confirming = false;
+                                if (page.ok() && !page->rows.empty())
+                                {
+                                    if (page->rows.front().version == this->row_version)
+                                    {
+                                        this->confirmed = true;
+                                        this->schedule_pass();
+                                    }
+                                    else
+                                    {
+                                        this->step_down("the lead's row has changed");
+                                    }
+                                }
+                            });
 }
 
 bool lead::hears_majority(core::instant now) const
--- a/src/site/rows.cpp
+++ b/src/site/rows.cpp
@@ -288,8 +288,8 @@
         const auto unit = batch::unit_key_from(end.unit());
         if (unit.ok())
         {
-            report.ends.push_back({end.number(), *unit, end.run(), from(end.kind()),
-                                   end.checkpoint(), end.reason()});
+            report.ends.push_back(
+                {end.number(), *unit, end.run(), from(end.kind()), end.checkpoint(), end.reason()});
         }
     }
     return report;
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -22,14 +22,22 @@
 /// Set by whoever starts the process; names the settings file.
 constexpr const char* settings_file_variable = "CHICORYLIFT_BOOT";
 constexpr std::array<std::string_view, 17> variables{
-    "CHICORYLIFT_BOOT",          "CHICORYLIFT_ROLE",
-    "CHICORYLIFT_NAME",          "CHICORYLIFT_ZONE",
-    "CHICORYLIFT_REGION",        "CHICORYLIFT_LISTEN",
-    "CHICORYLIFT_FRONT",         "CHICORYLIFT_READY",
-    "CHICORYLIFT_METRICS",       "CHICORYLIFT_CONTROL",
-    "CHICORYLIFT_WORKER",        "CHICORYLIFT_STORE",
-    "CHICORYLIFT_LONGEST_LEASE_MS", "CHICORYLIFT_KEY_REVOCATION_MS",
-    "CHICORYLIFT_STOP_GRACE_MS", "CHICORYLIFT_REMOTE_FACTOR",
+    "CHICORYLIFT_BOOT",
+    "CHICORYLIFT_ROLE",
+    "CHICORYLIFT_NAME",
+    "CHICORYLIFT_ZONE",
+    "CHICORYLIFT_REGION",
+    "CHICORYLIFT_LISTEN",
+    "CHICORYLIFT_FRONT",
+    "CHICORYLIFT_READY",
+    "CHICORYLIFT_METRICS",
+    "CHICORYLIFT_CONTROL",
+    "CHICORYLIFT_WORKER",
+    "CHICORYLIFT_STORE",
+    "CHICORYLIFT_LONGEST_LEASE_MS",
+    "CHICORYLIFT_KEY_REVOCATION_MS",
+    "CHICORYLIFT_STOP_GRACE_MS",
+    "CHICORYLIFT_REMOTE_FACTOR",
     "CHICORYLIFT_MOST_CONNECTIONS",
 };
 
@@ -174,9 +182,9 @@
         if (name.starts_with(prefix) &&
             std::find(variables.begin(), variables.end(), name) == variables.end())
         {
-            return make_error(error_kind::invalid_request,
-                              "environment variable \"" + std::string(name) +
-                                  "\" is not a setting");
+            return make_error(error_kind::invalid_request, "environment variable \"" +
+                                                               std::string(name) +
+                                                               "\" is not a setting");
         }
     }
     return absl::OkStatus();
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -140,8 +140,7 @@
     std::tm parts{};
     gmtime_r(&seconds, &parts);
     std::array<char, 40> text{};
-    const std::size_t length =
-        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
     std::snprintf(text.data() + length, text.size() - length, ".%03dZ",
                   static_cast<int>(since % thousand));
     return text.data();
@@ -149,8 +148,8 @@
 
 std::size_t index_of(std::string_view kind)
 {
-    const auto found = std::find_if(kinds.begin(), kinds.end(), [kind](const event_kind& each)
-                                    { return each.name == kind; });
+    const auto found = std::find_if(kinds.begin(), kinds.end(),
+                                    [kind](const event_kind& each) { return each.name == kind; });
     return static_cast<std::size_t>(
         std::distance(kinds.begin(), found == kinds.end() ? std::prev(kinds.end()) : found));
 }
@@ -171,8 +170,7 @@
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream*) {}));
     backend->auto_flush(true);
     log.sink = boost::make_shared<bounded_sink>(backend);
-    log.sink->set_formatter(boost::log::expressions::stream
-                            << boost::log::expressions::message);
+    log.sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::message);
     boost::log::core::get()->add_sink(log.sink);
 }
 
@@ -185,12 +183,13 @@
     }
     std::promise<void> written;
     std::future<void> done = written.get_future();
-    std::thread([sink = log.sink, written = std::move(written)]() mutable
-                {
-                    sink->stop();
-                    sink->flush();
-                    written.set_value();
-                })
+    std::thread(
+        [sink = log.sink, written = std::move(written)]() mutable
+        {
+            sink->stop();
+            sink->flush();
+            written.set_value();
+        })
         .detach();
     done.wait_for(last_lines_patience);
 }
--- /dev/null
+++ b/tests/batch_test.cpp
@@ -0,0 +1,288 @@
+#include "batch/placing.hpp"
+#include "chicorylift/batch/election.hpp"
+#include "chicorylift/batch/run_table.hpp"
+#include "chicorylift/batch/site_config.hpp"
+#include "chicorylift/batch/worker_lease.hpp"
+
+#include <doctest/doctest.h>
+
+/// Pure decisions about batch jobs, each with the failures that it is for.
+namespace
+{
+
+using namespace chicorylift;
+using namespace chicorylift::batch;
+using core::at;
+using std::chrono::milliseconds;
+
+unit_key unit(const std::string& job, std::int64_t index = 0)
+{
+    return {core::job_id(job), 0, 0, index};
+}
+
+worker_room room(const std::string& agent, const std::string& rack, std::int64_t accelerators)
+{
+    worker_room one;
+    one.agent = agent_id(agent);
+    one.rack = core::rack_id(rack);
+    one.free = {32000, 131072, accelerators};
+    return one;
+}
+
+step_spec gang_of(std::int64_t units, std::int64_t accelerators)
+{
+    step_spec step;
+    step.units = units;
+    step.gang = true;
+    step.per_unit = {1000, 1000, accelerators};
+    return step;
+}
+
+TEST_CASE("unit names are read back, and others are refused by name")
+{
+    const unit_key key{core::job_id("5c0e7a21d94b36f8"), 1, 2, 17};
+    CHECK(to_text(key) == "5c0e7a21d94b36f8.1.2.17");
+    CHECK(unit_key_from(to_text(key)).value() == key);
+    CHECK(!unit_key_from("abc.1.2").ok());
+    CHECK(!unit_key_from("abc.1.x.2").ok());
+    CHECK(!unit_key_from(".1.2.3").ok());
+}
+
+TEST_CASE("a job whose step follows a later one is refused")
+{
+    job_spec job;
+    job.steps.resize(2);
+    CHECK(check_job(job).ok());
+    job.steps[0].after = {1};
+    CHECK(!check_job(job).ok());
+    job.steps[0].after = {};
+    job.steps[1].units = 0;
+    CHECK(!check_job(job).ok());
+}
+
+TEST_CASE("the longest chain follows the steps' order")
+{
+    job_spec job;
+    job.steps.resize(3);
+    job.steps[0].estimate = milliseconds{100};
+    job.steps[1].estimate = milliseconds{500};
+    job.steps[2].estimate = milliseconds{50};
+    job.steps[2].after = {0};
+    CHECK(job.longest_chain() == milliseconds{500});
+    job.steps[2].after = {1};
+    CHECK(job.longest_chain() == milliseconds{550});
+}
+
+TEST_CASE("the fullest worker that has room is filled first")
+{
+    const auto placed = place_units(gang_of(1, 2), {0}, {room("a", "r", 8), room("b", "r", 2)}, {});
+    REQUIRE(placed.has_value());
+    CHECK(placed->front().agent.str() == "b");
+}
+
+TEST_CASE("a gang bound to one rack goes to one that holds all of it, or nowhere")
+{
+    const std::vector<worker_room> rooms{room("a", "r1", 8), room("b", "r2", 8),
+                                         room("c", "r2", 8)};
+    const auto placed = place_units(gang_of(2, 8), {0, 1}, rooms, {.one_rack = true});
+    REQUIRE(placed.has_value());
+    CHECK(placed->at(0).agent.str() == "b");
+    CHECK(placed->at(1).agent.str() == "c");
+    CHECK(!place_units(gang_of(3, 8), {0, 1, 2}, rooms, {.one_rack = true}).has_value());
+    CHECK(place_units(gang_of(3, 8), {0, 1, 2}, rooms, {}).has_value());
+}
+
+TEST_CASE("no more units of a step go to one worker than it allows")
+{
+    step_spec step = gang_of(2, 1);
+    step.most_per_worker = 1;
+    CHECK(!place_units(step, {0, 1}, {room("a", "r", 8)}, {}).has_value());
+    CHECK(place_units(step, {0, 1}, {room("a", "r", 8), room("b", "r", 8)}, {}).has_value());
+}
+
+TEST_CASE("room is reclaimed from the run whose stop loses least")
+{
+    const std::vector<worker_room> rooms{room("a", "r", 0), room("b", "r", 0)};
+    const std::vector<victim> victims{
+        {1, 50, {{agent_id("a"), {1000, 1000, 8}}}},
+        {2, 5, {{agent_id("b"), {1000, 1000, 8}}}},
+    };
+    const auto plan = plan_reclaim(gang_of(1, 8), {0}, rooms, victims, {});
+    REQUIRE(plan.has_value());
+    CHECK(plan->stops == std::vector<run_number>{2});
+    CHECK(plan->placements.front().agent.str() == "b");
+    CHECK(!plan_reclaim(gang_of(3, 8), {0, 1, 2}, rooms, victims, {}).has_value());
+}
+
+TEST_CASE("a lease counts from when the answered report was sent")
+{
+    worker_lease lease(milliseconds{5000});
+    lease.on_clock(milliseconds{100'000}, at(milliseconds{1000}));
+    CHECK(lease.end_on_worker(at(milliseconds{1000})).count() == 0);
+    lease.on_report_sent(1, at(milliseconds{1000}));
+    lease.on_report_sent(2, at(milliseconds{1600}));
+    lease.on_answer(1);
+    CHECK(lease.granted_until() == at(milliseconds{6000}));
+    // An answer to a report that was never sent, or again to an old one, changes nothing.
+    lease.on_answer(1);
+    lease.on_answer(7);
+    CHECK(lease.granted_until() == at(milliseconds{6000}));
+    CHECK(lease.end_on_worker(at(milliseconds{2000})) == milliseconds{105'000});
+    CHECK(lease.end_on_worker(at(milliseconds{6000})).count() == 0);
+}
+
+TEST_CASE("a start without an answer stays possible until a stop is acknowledged")
+{
+    run_table table;
+    worker_action start;
+    start.unit = unit("j");
+    start.run = 5;
+    const run_table::run_key key{start.unit, 5};
+    REQUIRE(table.on_start_order(start, at(milliseconds{0})).has_value());
+    CHECK(!table.on_start_order(start, at(milliseconds{1})).has_value());
+    table.on_start_answer(key, start_answer::unknown, "", at(milliseconds{700}));
+    CHECK(table.runs().size() == 1);
+    // Sent once more, then barred.
+    REQUIRE(table.due(at(milliseconds{701})).size() == 1);
+    table.on_start_answer(key, start_answer::unknown, "", at(milliseconds{1400}));
+    const auto stops = table.due(at(milliseconds{1401}));
+    REQUIRE(stops.size() == 1);
+    CHECK(stops.front().what == worker_action::kind::stop);
+    // Lists that do not show the run prove nothing before the stop is acknowledged.
+    table.on_lists({}, {}, at(milliseconds{1500}), at(milliseconds{1501}));
+    CHECK(table.runs().size() == 1);
+    table.on_stop_answer(key, true, at(milliseconds{1600}));
+    table.on_lists({}, {}, at(milliseconds{1550}), at(milliseconds{1601}));
+    CHECK(table.runs().size() == 1);
+    table.on_lists({}, {}, at(milliseconds{1700}), at(milliseconds{1701}));
+    CHECK(table.runs().empty());
+    REQUIRE(table.ends().size() == 1);
+    CHECK(table.ends().front().kind == end_kind::never_started);
+    table.on_settled(key);
+    CHECK(table.ends().empty());
+}
+
+TEST_CASE("a refused second try does not prove that the first did not start")
+{
+    run_table table;
+    worker_action start;
+    start.unit = unit("j");
+    start.run = 5;
+    const run_table::run_key key{start.unit, 5};
+    REQUIRE(table.on_start_order(start, at(milliseconds{0})).has_value());
+    table.on_start_answer(key, start_answer::unknown, "", at(milliseconds{700}));
+    REQUIRE(table.due(at(milliseconds{701})).size() == 1);
+    table.on_start_answer(key, start_answer::refused, "room", at(milliseconds{702}));
+    CHECK(table.ends().empty());
+    REQUIRE(table.due(at(milliseconds{703})).size() == 1);
+}
+
+TEST_CASE("lists that were asked for before a start do not deny it")
+{
+    run_table table;
+    worker_action start;
+    start.unit = unit("j");
+    start.run = 5;
+    REQUIRE(table.on_start_order(start, at(milliseconds{10})).has_value());
+    table.on_start_answer({start.unit, 5}, start_answer::accepted, "", at(milliseconds{20}));
+    table.on_lists({}, {}, at(milliseconds{15}), at(milliseconds{30}));
+    CHECK(table.runs().size() == 1);
+    CHECK(table.ends().empty());
+}
+
+TEST_CASE("a member that others contradict does not stand")
+{
+    election vote({}, at(milliseconds{0}));
+    CHECK(vote.tick(true, at(milliseconds{1000})) == election_step::nothing);
+    CHECK(vote.tick(true, at(milliseconds{1400})) == election_step::probe);
+    vote.on_probe_answer(true, at(milliseconds{1450}));
+    CHECK(vote.tick(true, at(milliseconds{1700})) == election_step::nothing);
+    CHECK(vote.tick(true, at(milliseconds{1800})) == election_step::nothing);
+}
+
+TEST_CASE("a member that nobody answers waits longer each time before it stands")
+{
+    election vote({}, at(milliseconds{0}));
+    const auto time_to_stand = [&vote](milliseconds from)
+    {
+        for (milliseconds now = from; now < from + std::chrono::minutes{2}; now += milliseconds{50})
+        {
+            if (vote.tick(true, at(now)) == election_step::stand)
+            {
+                return now - from;
+            }
+        }
+        return milliseconds{-1};
+    };
+    const milliseconds first = time_to_stand(milliseconds{0});
+    vote.on_lead_heard(at(std::chrono::minutes{5}));
+    const milliseconds second = time_to_stand(std::chrono::minutes{5});
+    CHECK(first >= milliseconds{4000});
+    CHECK(second >= first + milliseconds{2000});
+}
+
+TEST_CASE("a lead that says that it is gone is replaced without waiting for its silence")
+{
+    election vote({}, at(milliseconds{0}));
+    vote.on_lead_gone(at(milliseconds{100}));
+    CHECK(vote.tick(true, at(milliseconds{101})) == election_step::probe);
+    vote.on_probe_answer(false, at(milliseconds{150}));
+    CHECK(vote.tick(true, at(milliseconds{400})) == election_step::stand);
+}
+
+site_config config_with_two_queues()
+{
+    site_config config;
+    config.version = 3;
+    queue_route wide;
+    wide.host = "a.example";
+    wide.path_prefix = "/jobs/";
+    wide.terms.queue = queue_id("wide");
+    queue_route narrow = wide;
+    narrow.path_prefix = "/jobs/night/";
+    narrow.terms.queue = queue_id("narrow");
+    narrow.is_public = true;
+    config.routes = {wide, narrow};
+    config.organisation_by_key["k1"] = core::organisation_id("one");
+    return config;
+}
+
+TEST_CASE("calls go to the longest matching prefix of their host")
+{
+    const site_config config = config_with_two_queues();
+    const milliseconds fresh{10};
+    const milliseconds allowed{3000};
+    front_call call{call_method::post, "A.example:80", "/jobs/night/0123456789abcdef", ""};
+    resolved_call found = resolve(call, &config, fresh, allowed);
+    CHECK(found.refusal == call_refusal::none);
+    CHECK(found.route.terms.queue.str() == "narrow");
+    CHECK(found.kind == call_kind::submit);
+    call.path = "/jobs/0123456789abcdef";
+    CHECK(resolve(call, &config, fresh, allowed).refusal == call_refusal::unknown_key);
+    call.key = "k1";
+    found = resolve(call, &config, fresh, allowed);
+    CHECK(found.organisation.str() == "one");
+    call.path = "/jobs/not-an-id";
+    CHECK(resolve(call, &config, fresh, allowed).refusal == call_refusal::unknown_path);
+    call.host = "b.example";
+    CHECK(resolve(call, &config, fresh, allowed).refusal == call_refusal::unknown_queue);
+    CHECK(resolve(call, nullptr, fresh, allowed).refusal == call_refusal::no_config);
+}
+
+TEST_CASE("a key is not believed when the configuration was not confirmed in time")
+{
+    const site_config config = config_with_two_queues();
+    const milliseconds allowed{3000};
+    front_call call{call_method::get, "a.example", "/jobs/0123456789abcdef", "k1"};
+    CHECK(resolve(call, &config, milliseconds{3000}, allowed).refusal == call_refusal::none);
+    CHECK(resolve(call, &config, milliseconds{3001}, allowed).refusal ==
+          call_refusal::stale_config);
+    // Neither is the lack of a key or queue.
+    call.key = "unheard";
+    CHECK(resolve(call, &config, milliseconds{3001}, allowed).refusal ==
+          call_refusal::stale_config);
+    call.path = "/jobs/night/";
+    CHECK(resolve(call, &config, milliseconds{3001}, allowed).refusal == call_refusal::none);
+}
+
+} // namespace
