--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -68,6 +68,8 @@
                                        const std::map<agent_id, amount>& available,
                                        core::instant now) const;
     std::vector<victim> victims_for(const work_group& group, core::instant now) const;
+    /// @return core-seconds of work that stopping the run would lose.
+    double loss_of(const run_state& run, const step_spec& step, core::instant now) const;
     std::map<agent_id, amount> free_room() const;
     bool may_place_on(const worker_state& worker, const job_state& job, const step_spec& step,
                       core::instant now) const;
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -19,11 +19,26 @@
 constexpr core::milliseconds gang_patience{2000};
 constexpr double milliseconds_a_second = 1000.0;
 
+// Urgent work beyond its guarantee may cost others this many times its own work.
+constexpr double most_loss_for_gain = 1.5;
+// Time that resumed work takes to come back to its checkpoint.
+constexpr core::milliseconds restore_time{600};
+// An accelerator's work counts as that of so many cores.
+constexpr double cores_an_accelerator = 8.0;
+constexpr double millicores_a_core = 1000.0;
+
 std::size_t at(std::int64_t index)
 {
     return static_cast<std::size_t>(index);
 }
 
+/// @return work that one unit does in a second, in core-seconds.
+double work_rate(const step_spec& step)
+{
+    return static_cast<double>(step.per_unit.millicores) / millicores_a_core +
+           static_cast<double>(step.per_unit.accelerators) * cores_an_accelerator;
+}
+
 } // namespace
 
 std::vector<order> site_scheduler::implementation::decide(core::instant now, unix_time today,
@@ -410,6 +425,17 @@
     return true;
 }
 
+double site_scheduler::implementation::loss_of(const run_state& run, const step_spec& step,
+                                               core::instant now) const
+{
+    // Work that saves its state loses only the time that it takes to come back to it.
+    const core::milliseconds lost =
+        step.checkpointing ? std::min<core::milliseconds>(restore_time, now - run.began)
+                           : now - run.began;
+    return static_cast<double>(run.members.size()) * work_rate(step) *
+           static_cast<double>(lost.count()) / milliseconds_a_second;
+}
+
 std::vector<victim> site_scheduler::implementation::victims_for(const work_group& group,
                                                                 core::instant now) const
 {
@@ -425,10 +451,7 @@
         const step_spec& step = job->second.spec.steps[at(run.step)];
         victim candidate;
         candidate.run = number;
-        const double ran = static_cast<double>((now - run.began).count()) / milliseconds_a_second;
-        const double width = static_cast<double>(run.members.size()) *
-                             static_cast<double>(step.per_unit.accelerators + 1);
-        candidate.cost = width * (step.checkpointing ? 1.0 : 1.0 + ran);
+        candidate.cost = this->loss_of(run, step, now);
         for (const member_state& member : run.members)
         {
             if (!member.ended)
@@ -471,6 +494,12 @@
     {
         return;
     }
+    const double gain = static_cast<double>(group.units.size()) * work_rate(step) *
+                        static_cast<double>(step.estimate.count()) / milliseconds_a_second;
+    if (!group.guaranteed && plan->cost > gain * most_loss_for_gain)
+    {
+        return;
+    }
     for (const run_number number : plan->stops)
     {
         this->stop_run(this->runs.at(number), "room for " + group.job->spec.id.str());
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -53,7 +53,7 @@
         message.set(header.name, header.value);
     }
     message.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
-    message.setHost(request.address);
+    message.setHost(request.host.empty() ? request.address : request.host);
     std::ostream& out = session.sendRequest(message);
     out.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
     out.flush();
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -22,6 +22,8 @@
 {
     /// IP number and port, such as "127.0.0.1:8080".
     std::string address;
+    /// Name for the Host header; the address unless set.
+    std::string host;
     std::string method = "GET";
     std::string path;
     std::vector<http_header> headers;
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -190,6 +190,37 @@
     CHECK(site.decisions("run_stopped") == 1);
 }
 
+TEST_CASE("urgent work beyond its guarantee stops others only where little is lost")
+{
+    // A full site of long work that is half done; one half of it saves its state.
+    const auto play = [](std::int64_t accelerators, milliseconds length, int units)
+    {
+        auto site = std::make_unique<virtual_site>(5);
+        for (int number = 0; number < 12; ++number)
+        {
+            batch::step_spec step = step_of(1, 8, seconds{20});
+            step.checkpointing = number < 6;
+            site->submit(milliseconds{1500},
+                         one_step_job("fill" + std::to_string(number), "x", queue_with(2), step),
+                         {{seconds{20}}});
+        }
+        site->submit(milliseconds{12000},
+                     one_step_job("urgent", "x", queue_with(0),
+                                  step_of(units, accelerators, length)),
+                     {std::vector<milliseconds>{length}});
+        site->play(seconds{19});
+        return site;
+    };
+    // Six workers' state is saved: stopping them loses next to nothing.
+    const auto cheap = play(8, milliseconds{2500}, 4);
+    CHECK(cheap->decisions("run_stopped") == 4);
+    CHECK(cheap->results().at(core::job_id("urgent")).completed);
+    // Small urgent work must not throw ten seconds of eight accelerators away.
+    const auto dear = play(8, milliseconds{500}, 8);
+    CHECK(dear->decisions("run_stopped") <= 6);
+    CHECK(dear->wasted() < 6 * 70.0);
+}
+
 TEST_CASE("work of a silent worker is placed elsewhere only after its lease has lapsed")
 {
     for (std::uint32_t seed = 1; seed <= 40; ++seed)
--- /dev/null
+++ b/tests/site_test.cpp
@@ -0,0 +1,377 @@
+#include "net/http_client.hpp"
+#include "support/batch_site.hpp"
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+
+/// Sessions of real entries and agents between stand-ins for the platform's store and workers.
+namespace
+{
+
+using namespace chicorylift;
+using testing::batch_site;
+using testing::job_body;
+using testing::worker_records;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string job_name(int number)
+{
+    std::string text = std::to_string(number);
+    return std::string(16 - text.size(), '0') + text;
+}
+
+bool is_serving(const batch_site& site, int entry = 0)
+{
+    return batch_site::wait_for([&] { return site.call(entry, "GET", "").status == 200; }) &&
+           batch_site::wait_for([&] { return site.lead() >= 0; });
+}
+
+void check_once(batch_site& site, int units)
+{
+    const worker_records seen = site.workers().records();
+    for (const std::string& broken : seen.violations)
+    {
+        FAIL_CHECK(broken);
+    }
+    CHECK(static_cast<int>(seen.done.size()) == units);
+}
+
+/// Hands a job in as a caller does: again after no answer or an unknown outcome.
+int submit(const batch_site& site, int number, const std::string& body, int entries = 1)
+{
+    int status = 0;
+    for (int attempt = 0; attempt < 20 && status != 200; ++attempt)
+    {
+        status = site.call(attempt % entries, "POST", job_name(number), body).status;
+        if (status != 200)
+        {
+            std::this_thread::sleep_for(milliseconds{200});
+        }
+    }
+    return status;
+}
+
+TEST_CASE("jobs alone, in gangs and in steps are stored, run once and shown as completed")
+{
+    batch_site site(1, 4);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    CHECK(submit(site, 1, job_body("200", 3, 2, false)) == 200);
+    CHECK(submit(site, 2, job_body("300/4", 4, 4, true)) == 200);
+    CHECK(submit(site, 3,
+                 R"({"spec":"100","steps":[{"count":2,"gpu":1,"estimateMs":100},)"
+                 R"({"count":1,"gpu":1,"estimateMs":100,"after":[0]}]})") == 200);
+    // The same call again is the same job.
+    CHECK(submit(site, 1, job_body("200", 3, 2, false)) == 200);
+    for (int number = 1; number <= 3; ++number)
+    {
+        CAPTURE(number);
+        CHECK(site.wait_for_state(job_name(number), "completed"));
+    }
+    check_once(site, 3 + 4 + 3);
+    CHECK(site.workers().records().alone == 0);
+    CHECK(site.call(0, "GET", job_name(9)).status == 410);
+    CHECK(site.call(0, "GET", "").body.find("\"pending\":0") != std::string::npos);
+}
+
+TEST_CASE("a job that fails as often as its queue allows is shown as failed")
+{
+    batch_site site(1, 2);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    CHECK(submit(site, 1, job_body("fail", 1, 1, false)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "failed"));
+    CHECK(site.workers().records().starts[job_name(1) + ".0.0.0"] == 2);
+}
+
+TEST_CASE("a cancelled job stops and stays cancelled")
+{
+    batch_site site(1, 2);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    CHECK(submit(site, 1, job_body("60000", 1, 8, false)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "running"));
+    CHECK(site.call(0, "DELETE", job_name(1)).status == 200);
+    CHECK(site.wait_for_state(job_name(1), "cancelled"));
+    CHECK(site.call(0, "DELETE", job_name(2)).status == 410);
+    // Its room is free again.
+    CHECK(submit(site, 3, job_body("100", 2, 8, false)) == 200);
+    CHECK(site.wait_for_state(job_name(3), "completed"));
+    CHECK(site.call(0, "GET", job_name(1)).body.find("cancelled") != std::string::npos);
+}
+
+TEST_CASE("a killed lead is replaced; nothing accepted is lost or done twice")
+{
+    batch_site site(1, 4);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    for (int number = 1; number <= 6; ++number)
+    {
+        CHECK(submit(site, number, job_body("1500", 2, 2, false)) == 200);
+    }
+    for (int round = 0; round < 2; ++round)
+    {
+        const int lead = site.lead();
+        REQUIRE(lead >= 0);
+        site.agent(lead).kill_now();
+        CHECK(submit(site, 10 + round, job_body("400/2", 2, 4, true)) == 200);
+        CHECK(batch_site::wait_for([&] { return site.lead() != lead; }));
+        site.agent(lead).restart();
+    }
+    for (const int number : {1, 2, 3, 4, 5, 6, 10, 11})
+    {
+        CAPTURE(number);
+        CHECK(site.wait_for_state(job_name(number), "completed"));
+    }
+    check_once(site, 6 * 2 + 2 * 2);
+}
+
+TEST_CASE("a frozen lead that wakes does not order anything")
+{
+    batch_site site(1, 4);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    for (int number = 1; number <= 4; ++number)
+    {
+        CHECK(submit(site, number, job_body("1200", 2, 2, false)) == 200);
+    }
+    const int lead = site.lead();
+    site.agent(lead).signal(SIGSTOP);
+    CHECK(batch_site::wait_for([&] { return site.lead() != lead; }));
+    site.agent(lead).signal(SIGCONT);
+    CHECK(submit(site, 9, job_body("100/3", 3, 4, true)) == 200);
+    for (const int number : {1, 2, 3, 4, 9})
+    {
+        CAPTURE(number);
+        CHECK(site.wait_for_state(job_name(number), "completed"));
+    }
+    check_once(site, 4 * 2 + 3);
+}
+
+TEST_CASE("without the store accepted work goes on and new work is refused truly")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    CHECK(submit(site, 1, job_body("1500", 3, 2, false)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "running"));
+    site.store().set_faults({.busy = true});
+    const auto refused = site.call(0, "POST", job_name(2), job_body("100", 1, 1, false));
+    CHECK(refused.status == 503);
+    // Longer than a lease, so that work that is not renewed would be gone.
+    std::this_thread::sleep_for(seconds{7});
+    site.store().set_faults({});
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    CHECK(site.workers().records().starts.contains(job_name(2) + ".0.0.0") == false);
+    CHECK(submit(site, 3, job_body("100", 1, 1, false)) == 200);
+    CHECK(site.wait_for_state(job_name(3), "completed"));
+    check_once(site, 3 + 1);
+}
+
+TEST_CASE("writes whose answers are lost, or that come late, make one job each")
+{
+    batch_site site(2, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    REQUIRE(is_serving(site, 1));
+    site.store().set_faults({.lose_answers = 0.4, .late = milliseconds{900}});
+    for (int number = 1; number <= 8; ++number)
+    {
+        CHECK(submit(site, number, job_body("150", 1, 2, false), 2) == 200);
+    }
+    site.store().set_faults({});
+    for (int number = 1; number <= 8; ++number)
+    {
+        CAPTURE(number);
+        CHECK(site.wait_for_state(job_name(number), "completed"));
+    }
+    check_once(site, 8);
+}
+
+TEST_CASE("a store that has forgotten its history is read anew")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    for (int number = 1; number <= 4; ++number)
+    {
+        site.store().forget_history();
+        CHECK(submit(site, number, job_body("100", 1, 2, false)) == 200);
+        site.store().forget_history();
+        CHECK(site.wait_for_state(job_name(number), "completed"));
+    }
+    check_once(site, 4);
+}
+
+TEST_CASE("workers that restart under their id run their units again")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    for (int number = 1; number <= 4; ++number)
+    {
+        CHECK(submit(site, number, job_body("1200", 1, 4, false)) == 200);
+    }
+    CHECK(site.wait_for_state(job_name(4), "running"));
+    for (const char* const id : {"i-0", "i-1", "i-2"})
+    {
+        site.workers().reboot(id);
+    }
+    for (int number = 1; number <= 4; ++number)
+    {
+        CAPTURE(number);
+        CHECK(site.wait_for_state(job_name(number), "completed"));
+    }
+    check_once(site, 4);
+}
+
+TEST_CASE("a silent worker's units move once its lease has lapsed")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    CHECK(submit(site, 1, job_body("2500", 3, 8, false)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "running"));
+    site.workers().set_silent("i-1", true);
+    CHECK(site.wait_for_state(job_name(1), "completed", seconds{40}));
+    site.workers().set_silent("i-1", false);
+    check_once(site, 3);
+}
+
+TEST_CASE("starts that are carried out seconds late neither double nor break a gang for good")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    site.workers().delay_starts(3, milliseconds{2500});
+    CHECK(submit(site, 1, job_body("300", 2, 4, false)) == 200);
+    CHECK(submit(site, 2, job_body("300/2", 2, 4, true)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    CHECK(site.wait_for_state(job_name(2), "completed"));
+    check_once(site, 4);
+}
+
+TEST_CASE("a removed key stops working, also at an entry that cannot ask the store")
+{
+    batch_site site(1, 1);
+    site.configure(1, {"key-a", "key-b"});
+    REQUIRE(is_serving(site));
+    CHECK(site.call(0, "GET", "", "", "key-b").status == 200);
+    site.configure(2, {"key-a"});
+    CHECK(batch_site::wait_for([&] { return site.call(0, "GET", "", "", "key-b").status == 401; },
+                               seconds{3}));
+    site.store().set_faults({.silent = true});
+    // The users' bound for a removed key is 5 s.
+    std::this_thread::sleep_for(seconds{5});
+    CHECK(site.call(0, "GET", "").status == 503);
+    site.store().set_faults({});
+    CHECK(batch_site::wait_for([&] { return site.call(0, "GET", "").status == 200; }, seconds{3}));
+}
+
+TEST_CASE("settings are read again on SIGHUP, and a planned stop answers what has come")
+{
+    batch_site site(1, 2);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    site.entry(0).signal(SIGHUP);
+    site.agent(0).signal(SIGHUP);
+    CHECK(batch_site::wait_for(
+        [&] { return site.entry(0).output().find("\"reloaded\"") != std::string::npos; }));
+    CHECK(batch_site::wait_for(
+        [&] { return site.agent(0).output().find("\"reloaded\"") != std::string::npos; }));
+    CHECK(site.call(0, "GET", "").status == 200);
+    site.entry(0).signal(SIGTERM);
+    CHECK(site.call(0, "POST", job_name(1), job_body("50", 1, 1, false)).status == 200);
+    CHECK(site.entry(0).stop() == 0);
+    CHECK(site.agent(1).stop() == 0);
+}
+
+TEST_CASE("a variable with the product's prefix that is no setting is named at start")
+{
+    const std::string program = testing::daemon_path();
+    ::setenv("CHICORYLIFT_LEESE", "3", 1);
+    testing::process wrong({program, "batch", "--role", "agent"},
+                           "/tmp/chicorylift-wrong-variable.log");
+    CHECK(batch_site::wait_for([&]
+                               { return wrong.output().find("CHICORYLIFT_LEESE") !=
+                                        std::string::npos; }));
+    ::unsetenv("CHICORYLIFT_LEESE");
+    CHECK(wrong.stop() != 0);
+}
+
+/// @return resident memory of a process in kilobytes.
+long resident_kb(pid_t id)
+{
+    std::ifstream status("/proc/" + std::to_string(id) + "/status");
+    std::string line;
+    while (std::getline(status, line))
+    {
+        if (line.starts_with("VmRSS:"))
+        {
+            return std::atol(line.c_str() + 6);
+        }
+    }
+    return 0;
+}
+
+TEST_CASE("thousands of careless connections cost no thread and harm no other caller")
+{
+    batch_site site(1, 1);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    std::vector<Poco::Net::StreamSocket> careless;
+    for (int number = 0; number < 2500; ++number)
+    {
+        careless.emplace_back(Poco::Net::SocketAddress(site.front(0)));
+        const std::string half = "GET /q/ HTTP/1.1\r\nHost: jobs.exam";
+        careless.back().sendBytes(half.data(), static_cast<int>(half.size()));
+    }
+    CHECK(site.call(0, "GET", "").status == 200);
+    net::client_request probe;
+    probe.address = site.ready(0);
+    probe.path = "/v1/ready";
+    CHECK(net::exchange(probe).value().status == 200);
+    probe.address = site.metrics(0);
+    probe.path = "/metrics";
+    CHECK(net::exchange(probe).value().status == 200);
+    // The thinnest entry VM has 160 MB.
+    CHECK(resident_kb(site.entry(0).id()) < 160 * 1024);
+    // The configured time for a header is 3 s; then the connections are closed.
+    CHECK(batch_site::wait_for(
+        [&]
+        {
+            char answer[64];
+            return careless.front().poll(0, Poco::Net::Socket::SELECT_READ) &&
+                   careless.front().receiveBytes(answer, sizeof answer) >= 0;
+        },
+        seconds{6}));
+}
+
+TEST_CASE("unreadable, oversized and ill-typed requests get a clear answer")
+{
+    batch_site site(1, 1);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    CHECK(site.call(0, "POST", job_name(1), "{").status == 400);
+    CHECK(site.call(0, "POST", job_name(1), "[]").status == 400);
+    CHECK(site.call(0, "POST", job_name(1), R"({"spec":7,"steps":[{}]})").status == 400);
+    CHECK(site.call(0, "POST", job_name(1), R"({"spec":"1","steps":[{"count":-1}]})").status ==
+          400);
+    CHECK(site.call(0, "POST", job_name(1), R"({"spec":"1","steps":[{"after":[3]}]})").status ==
+          400);
+    CHECK(site.call(0, "POST", job_name(1), std::string(300000, ' ')).status == 413);
+    CHECK(site.call(0, "PUT", job_name(1)).status == 405);
+    CHECK(site.call(0, "GET", "not-a-job").status == 404);
+    CHECK(site.call(0, "GET", "", "", "no-such-key").status == 401);
+    // Unknown fields are passed over.
+    CHECK(site.call(0, "POST", job_name(2), R"({"spec":"10","new":1,"steps":[{"newer":[]}]})")
+              .status == 200);
+    CHECK(site.wait_for_state(job_name(2), "completed"));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/standins/site_store.cpp
@@ -0,0 +1,390 @@
+#include "standins/site_store.hpp"
+
+#include "platform/json_reader.hpp"
+
+#include <Poco/URI.h>
+#include <absl/strings/escaping.h>
+#include <set>
+
+namespace chicorylift::testing
+{
+
+namespace
+{
+
+using platform::json_reader;
+using responder = net::async_http_server::responder;
+
+constexpr std::size_t page_size = 500;
+constexpr int status_conflict = 412;
+constexpr int status_gone = 410;
+constexpr int status_unavailable = 503;
+constexpr int status_not_found = 404;
+
+struct row_name
+{
+    std::string table;
+    std::string part;
+    std::string key;
+
+    friend auto operator<=>(const row_name&, const row_name&) = default;
+};
+
+struct stored_row
+{
+    std::string value;
+    std::uint64_t version{};
+    bool deleted = false;
+};
+
+struct waiting_feed
+{
+    std::string table;
+    std::uint64_t after{};
+    responder respond;
+    std::uint64_t id{};
+};
+
+std::map<std::string, std::string> query_of(const std::string& target)
+{
+    std::map<std::string, std::string> values;
+    for (const auto& [name, value] : Poco::URI(target).getQueryParameters())
+    {
+        values[name] = value;
+    }
+    return values;
+}
+
+row_name name_from(json_reader& from)
+{
+    return {from.text("table"), from.text("part", false), from.text("key")};
+}
+
+Poco::JSON::Object::Ptr print(const row_name& name, const stored_row& row)
+{
+    Poco::JSON::Object::Ptr object(new Poco::JSON::Object);
+    object->set("table", name.table);
+    object->set("part", name.part);
+    object->set("key", name.key);
+    object->set("schemaVersion", row.version);
+    if (row.deleted)
+    {
+        object->set("deleted", true);
+    }
+    else
+    {
+        object->set("value", row.value);
+    }
+    return object;
+}
+
+} // namespace
+
+struct site_store::implementation
+    : public std::enable_shared_from_this<site_store::implementation>
+{
+    explicit implementation(net::event_loop& loop) : loop(loop) {}
+
+    void answer(const net::server_request& request, const responder& respond)
+    {
+        ++this->call_count;
+        const std::lock_guard lock(this->guard);
+        if (this->faults.silent)
+        {
+            return;
+        }
+        if (this->faults.busy)
+        {
+            net::server_response response;
+            response.status = status_unavailable;
+            respond(response);
+            return;
+        }
+        this->delayed(this->faults.delay, [self = this->shared_from_this(), request, respond]
+                      { self->serve(request, respond); });
+    }
+
+    void delayed(core::milliseconds delay, std::function<void()> what)
+    {
+        this->loop.after(delay, std::move(what));
+    }
+
+    void serve(const net::server_request& request, const responder& respond)
+    {
+        const std::string name = request.path.size() > 1 ? request.path[1] : "";
+        if (name == "rows-tx")
+        {
+            this->transact(request, respond);
+        }
+        else if (name == "rows-get")
+        {
+            this->read(query_of(request.target), respond);
+        }
+        else if (name == "rows-feed")
+        {
+            this->feed(query_of(request.target), respond);
+        }
+        else
+        {
+            net::server_response response;
+            response.status = status_not_found;
+            respond(response);
+        }
+    }
+
+    void transact(const net::server_request& request, const responder& respond)
+    {
+        std::uniform_real_distribution<double> chance(0, 1);
+        bool lost = false;
+        core::milliseconds late{};
+        {
+            const std::lock_guard lock(this->guard);
+            lost = chance(this->random) < this->faults.lose_answers;
+            late = this->faults.late;
+        }
+        if (lost)
+        {
+            this->delayed(late, [self = this->shared_from_this(), body = request.body]
+                          { static_cast<void>(self->apply(body)); });
+            return;
+        }
+        respond(this->apply(request.body));
+    }
+
+    net::server_response apply(const std::string& text)
+    {
+        net::server_response response;
+        auto body = json_reader::parse(text);
+        if (!body.ok())
+        {
+            response.status = 400;
+            return response;
+        }
+        Poco::JSON::Array::Ptr present(new Poco::JSON::Array);
+        bool conflict = false;
+        std::set<std::string> parts;
+        const std::lock_guard lock(this->guard);
+        for (json_reader& condition : body->objects("expectedRevision", false))
+        {
+            const row_name name = name_from(condition);
+            parts.insert(name.part);
+            const auto found = this->table.find(name);
+            const bool exists = found != this->table.end() && !found->second.deleted;
+            const std::uint64_t version = exists ? found->second.version : 0;
+            conflict = conflict ||
+                       version != static_cast<std::uint64_t>(condition.whole("schemaVersion"));
+            if (exists)
+            {
+                present->add(print(name, found->second));
+            }
+        }
+        Poco::JSON::Object answer;
+        if (!conflict)
+        {
+            ++this->version;
+            for (json_reader& put : body->objects("puts", false))
+            {
+                const row_name name = name_from(put);
+                parts.insert(name.part);
+                this->table[name] = {put.text("value"), this->version, false};
+            }
+            for (json_reader& removal : body->objects("remove", false))
+            {
+                const row_name name = name_from(removal);
+                parts.insert(name.part);
+                this->table[name] = {"", this->version, true};
+            }
+            this->wake_feeds();
+        }
+        else
+        {
+            answer.set("rows", present);
+            response.status = status_conflict;
+        }
+        if (parts.size() > 1)
+        {
+            response.status = 400;
+            return response;
+        }
+        answer.set("schemaVersion", this->version);
+        answer.set("nowMs", std::uint64_t{1});
+        response.body = platform::to_text(answer);
+        return response;
+    }
+
+    void read(std::map<std::string, std::string> query, const responder& respond)
+    {
+        const std::lock_guard lock(this->guard);
+        const std::size_t limit =
+            query["limit"].empty() ? page_size : std::stoull(query["limit"]);
+        Poco::JSON::Array::Ptr rows(new Poco::JSON::Array);
+        bool truncated = false;
+        for (auto each = this->table.lower_bound({query["table"], query["part"], query["from"]});
+             each != this->table.end() && each->first.table == query["table"] &&
+             each->first.part == query["part"];
+             ++each)
+        {
+            if (each->second.deleted)
+            {
+                continue;
+            }
+            if (rows->size() == limit)
+            {
+                truncated = true;
+                break;
+            }
+            rows->add(print(each->first, each->second));
+        }
+        this->send_rows(rows, truncated, respond);
+    }
+
+    void send_rows(const Poco::JSON::Array::Ptr& rows, bool truncated,
+                   const responder& respond) const
+    {
+        Poco::JSON::Object answer;
+        answer.set("rows", rows);
+        answer.set("truncated", truncated);
+        answer.set("schemaVersion", this->version);
+        answer.set("nowMs", std::uint64_t{1});
+        net::server_response response;
+        response.body = platform::to_text(answer);
+        respond(response);
+    }
+
+    void feed(std::map<std::string, std::string> query, const responder& respond)
+    {
+        const std::lock_guard lock(this->guard);
+        const std::uint64_t after = std::stoull(query["after"]);
+        if (after < this->oldest)
+        {
+            net::server_response response;
+            response.status = status_gone;
+            respond(response);
+            return;
+        }
+        waiting_feed waiting{query["table"], after, respond, ++this->next_feed};
+        if (this->try_feed(waiting))
+        {
+            return;
+        }
+        this->feeds.push_back(waiting);
+        const core::milliseconds wait{std::stoll(query["waitMs"])};
+        this->delayed(wait,
+                      [self = this->shared_from_this(), id = waiting.id]
+                      {
+                          const std::lock_guard relock(self->guard);
+                          for (auto each = self->feeds.begin(); each != self->feeds.end(); ++each)
+                          {
+                              if (each->id == id)
+                              {
+                                  const responder reply = each->respond;
+                                  self->feeds.erase(each);
+                                  self->send_rows(new Poco::JSON::Array, false, reply);
+                                  return;
+                              }
+                          }
+                      });
+    }
+
+    bool try_feed(const waiting_feed& waiting) const
+    {
+        std::map<std::uint64_t, std::vector<Poco::JSON::Object::Ptr>> changed;
+        for (const auto& [name, row] : this->table)
+        {
+            if (name.table == waiting.table && row.version > waiting.after)
+            {
+                changed[row.version].push_back(print(name, row));
+            }
+        }
+        if (changed.empty())
+        {
+            return false;
+        }
+        Poco::JSON::Array::Ptr rows(new Poco::JSON::Array);
+        for (const auto& [version, list] : changed)
+        {
+            for (const auto& row : list)
+            {
+                rows->add(row);
+            }
+        }
+        this->send_rows(rows, false, waiting.respond);
+        return true;
+    }
+
+    void wake_feeds()
+    {
+        std::erase_if(this->feeds,
+                      [this](const waiting_feed& waiting) { return this->try_feed(waiting); });
+    }
+
+    net::event_loop& loop;
+    mutable std::mutex guard;
+    store_faults faults;
+    std::map<row_name, stored_row> table;
+    std::uint64_t version = 1;
+    std::uint64_t oldest = 0;
+    std::uint64_t next_feed = 0;
+    std::atomic<std::uint64_t> call_count = 0;
+    std::vector<waiting_feed> feeds;
+    std::minstd_rand random{7};
+    std::unique_ptr<net::async_http_server> server;
+};
+
+site_store::site_store(net::event_loop& loop, const std::string& address)
+    : inner(std::make_shared<implementation>(loop))
+{
+    net::async_server_limits limits;
+    limits.largest_body = 2U << 20U;
+    limits.idle = std::chrono::minutes{5};
+    this->inner->server = std::make_unique<net::async_http_server>(
+        loop, address, limits,
+        [self = this->inner.get()](const net::server_request& request, const responder& respond)
+        { self->answer(request, respond); });
+}
+
+site_store::~site_store() = default;
+
+void site_store::set_faults(const store_faults& faults)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->faults = faults;
+}
+
+void site_store::forget_history()
+{
+    const std::lock_guard lock(this->inner->guard);
+    ++this->inner->version;
+    this->inner->oldest = this->inner->version;
+}
+
+void site_store::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    this->inner->loop.post(
+        [self = this->inner, table, key, value]
+        {
+            std::string encoded;
+            absl::Base64Escape(absl::string_view(value.data(), value.size()), &encoded);
+            const std::lock_guard lock(self->guard);
+            self->table[{table, "", key}] = {encoded, ++self->version, false};
+            self->wake_feeds();
+        });
+}
+
+std::uint64_t site_store::calls() const
+{
+    return this->inner->call_count;
+}
+
+std::size_t site_store::rows(const std::string& table) const
+{
+    const std::lock_guard lock(this->inner->guard);
+    std::size_t count = 0;
+    for (const auto& [name, row] : this->inner->table)
+    {
+        count += name.table == table && !row.deleted ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace chicorylift::testing
--- /dev/null
+++ b/tests/standins/site_workers.cpp
@@ -0,0 +1,522 @@
+#include "standins/site_workers.hpp"
+
+#include "chicorylift/batch/job.hpp"
+#include "platform/json_reader.hpp"
+
+#include <algorithm>
+#include <mutex>
+
+namespace chicorylift::testing
+{
+
+namespace
+{
+
+using platform::json_reader;
+using responder = net::async_http_server::responder;
+
+constexpr core::milliseconds beat_interval{300};
+constexpr core::milliseconds stop_time{60};
+constexpr core::milliseconds gang_patience{3000};
+constexpr int status_conflict = 409;
+
+struct run
+{
+    std::string unit;
+    std::uint64_t number{};
+    std::int64_t duration_ms{};
+    int members = 1;
+    bool fails = false;
+    bool working = false;
+    bool stopping = false;
+    std::uint64_t token{};
+};
+
+struct end
+{
+    std::uint64_t number{};
+    std::string unit;
+    std::uint64_t run{};
+    std::string how;
+};
+
+struct worker
+{
+    worker_place place;
+    std::unique_ptr<net::async_http_server> server;
+    std::int64_t born{};
+    std::uint64_t sequence{};
+    std::map<std::string, run> runs;
+    std::map<std::string, std::uint64_t> barred;
+    std::vector<end> ends;
+    std::uint64_t next_end = 1;
+    std::uint64_t token{};
+    std::int64_t lease_until{};
+    std::vector<responder> waiting;
+    bool silent = false;
+};
+
+std::int64_t now_ms()
+{
+    return core::boot_clock::now().time_since_epoch().count();
+}
+
+} // namespace
+
+struct site_workers::implementation
+    : public std::enable_shared_from_this<site_workers::implementation>
+{
+    explicit implementation(net::event_loop& loop) : loop(loop), client(loop) {}
+
+    void add(const worker_place& place)
+    {
+        worker& one = this->workers[place.id];
+        one.place = place;
+        one.born = ++this->next_born;
+        one.server = std::make_unique<net::async_http_server>(
+            this->loop, place.address, net::async_server_limits{},
+            [this, &one](const net::server_request& request, const responder& respond)
+            {
+                const std::lock_guard lock(this->guard);
+                this->answer(one, request, respond);
+            });
+        this->beat(place.id);
+        this->watch_lease(place.id);
+    }
+
+    void beat(const std::string& id)
+    {
+        const std::lock_guard lock(this->guard);
+        worker& one = this->workers.at(id);
+        if (!one.silent)
+        {
+            Poco::JSON::Object body;
+            body.set("service", "svc");
+            body.set("address", one.place.address);
+            body.set("zone", "z");
+            body.set("slots", 8);
+            body.set("state", "ready");
+            body.set("born", one.born);
+            body.set("clockMs", now_ms());
+            body.set("seq", ++one.sequence);
+            Poco::JSON::Object::Ptr capacity(new Poco::JSON::Object);
+            capacity->set("cpu", 32000);
+            capacity->set("memMb", 131072);
+            capacity->set("gpu", one.place.accelerators);
+            body.set("capacity", capacity);
+            Poco::JSON::Array::Ptr labels(new Poco::JSON::Array);
+            labels->add("a");
+            labels->add(one.place.rack);
+            body.set("labels", labels);
+            net::client_request request;
+            request.address = one.place.agent;
+            request.method = "PUT";
+            request.path = "/v1/instances/" + id;
+            request.body = platform::to_text(body);
+            this->client.send(request, [](const absl::StatusOr<net::client_response>&) {});
+        }
+        this->loop.after(beat_interval, [self = this->shared_from_this(), id]
+                         { self->beat(id); });
+    }
+
+    void watch_lease(const std::string& id)
+    {
+        constexpr core::milliseconds interval{20};
+        {
+            const std::lock_guard lock(this->guard);
+            worker& one = this->workers.at(id);
+            while (!one.runs.empty() && now_ms() > one.lease_until)
+            {
+                this->finish(one, one.runs.begin()->first, "lapsed");
+            }
+        }
+        this->loop.after(interval, [self = this->shared_from_this(), id]
+                         { self->watch_lease(id); });
+    }
+
+    void answer(worker& one, const net::server_request& request, const responder& respond)
+    {
+        if (one.silent)
+        {
+            return;
+        }
+        auto body = json_reader::parse(request.body);
+        if (!body.ok() || request.path.size() != 2)
+        {
+            respond(this->plain(one, 400, ""));
+            return;
+        }
+        const auto token = static_cast<std::uint64_t>(body->whole("fencingToken", false));
+        if (token < one.token)
+        {
+            respond(this->plain(one, status_conflict, "fence"));
+            return;
+        }
+        one.token = token;
+        if (request.path[1] == "run-start")
+        {
+            this->on_start(one, *body, respond);
+        }
+        else if (request.path[1] == "run-stop")
+        {
+            this->on_stop(one, *body, respond);
+        }
+        else
+        {
+            this->on_hold(one, *body, respond);
+        }
+    }
+
+    net::server_response plain(const worker& one, int status, const std::string& reason) const
+    {
+        Poco::JSON::Object body;
+        body.set("clockMs", now_ms());
+        body.set("born", one.born);
+        if (!reason.empty())
+        {
+            body.set("reason", reason);
+        }
+        net::server_response response;
+        response.status = status;
+        response.body = platform::to_text(body);
+        return response;
+    }
+
+    void on_start(worker& one, json_reader& body, const responder& respond)
+    {
+        const std::string unit = body.text("task");
+        const auto number = static_cast<std::uint64_t>(body.whole("run"));
+        const std::string payload = body.text("spec");
+        const std::int64_t until = body.whole("deadlineMs");
+        if (this->late_starts > 0)
+        {
+            --this->late_starts;
+            this->loop.after(this->lateness,
+                             [self = this->shared_from_this(), id = one.place.id, unit, number,
+                              payload, until, token = one.token, born = one.born]
+                             {
+                                 const std::lock_guard lock(self->guard);
+                                 worker& there = self->workers.at(id);
+                                 if (there.token <= token && there.born == born)
+                                 {
+                                     static_cast<void>(
+                                         self->begin(there, unit, number, payload, until));
+                                 }
+                             });
+            return;
+        }
+        const std::string refused = this->begin(one, unit, number, payload, until);
+        respond(this->plain(one, refused.empty() ? 200 : status_conflict, refused));
+    }
+
+    std::string begin(worker& one, const std::string& unit, std::uint64_t number,
+                      const std::string& payload, std::int64_t until)
+    {
+        const auto there = one.runs.find(unit);
+        if (there != one.runs.end() && there->second.number == number)
+        {
+            return "";
+        }
+        if (until <= now_ms())
+        {
+            return "late";
+        }
+        if (one.barred[unit] >= number)
+        {
+            return "old";
+        }
+        one.lease_until = std::max(one.lease_until, until);
+        for (const auto& [id, other] : this->workers)
+        {
+            if (other.runs.contains(unit))
+            {
+                this->seen.violations.push_back(unit + " runs twice");
+            }
+        }
+        if (this->seen.done.contains(unit))
+        {
+            this->seen.violations.push_back(unit + " starts after it was done");
+        }
+        run fresh;
+        fresh.unit = unit;
+        fresh.number = number;
+        fresh.fails = payload.starts_with("fail");
+        fresh.duration_ms = fresh.fails ? 50 : std::stoll(payload);
+        const std::size_t slash = payload.find('/');
+        fresh.members = slash == std::string::npos ? 1 : std::stoi(payload.substr(slash + 1));
+        fresh.token = ++this->next_token;
+        one.runs[unit] = fresh;
+        ++this->seen.starts[unit];
+        this->gather(number, fresh.members);
+        this->expire_lonely(one.place.id, unit, fresh.token);
+        return "";
+    }
+
+    void gather(std::uint64_t number, int members)
+    {
+        int present = 0;
+        for (auto& [id, one] : this->workers)
+        {
+            for (auto& [unit, each] : one.runs)
+            {
+                present += each.number == number ? 1 : 0;
+            }
+        }
+        if (present < members)
+        {
+            return;
+        }
+        for (auto& [id, one] : this->workers)
+        {
+            for (auto& [unit, each] : one.runs)
+            {
+                if (each.number == number && !each.working)
+                {
+                    each.working = true;
+                    this->finish_later(id, unit, each);
+                }
+            }
+        }
+    }
+
+    void finish_later(const std::string& id, const std::string& unit, const run& each)
+    {
+        this->loop.after(core::milliseconds{each.duration_ms},
+                         [self = this->shared_from_this(), id, unit, token = each.token]
+                         {
+                             const std::lock_guard lock(self->guard);
+                             worker& one = self->workers.at(id);
+                             const auto found = one.runs.find(unit);
+                             if (found != one.runs.end() && found->second.token == token &&
+                                 !found->second.stopping)
+                             {
+                                 self->finish(one, unit,
+                                              found->second.fails ? "failed" : "done");
+                             }
+                         });
+    }
+
+    void expire_lonely(const std::string& id, const std::string& unit, std::uint64_t token)
+    {
+        this->loop.after(gang_patience,
+                         [self = this->shared_from_this(), id, unit, token]
+                         {
+                             const std::lock_guard lock(self->guard);
+                             worker& one = self->workers.at(id);
+                             const auto found = one.runs.find(unit);
+                             if (found != one.runs.end() && found->second.token == token &&
+                                 !found->second.working)
+                             {
+                                 ++self->seen.alone;
+                                 self->finish(one, unit, "alone");
+                             }
+                         });
+    }
+
+    void on_stop(worker& one, json_reader& body, const responder& respond)
+    {
+        const std::string unit = body.text("task");
+        const auto number = static_cast<std::uint64_t>(body.whole("run"));
+        std::uint64_t& barred = one.barred[unit];
+        barred = std::max(barred, number);
+        const auto found = one.runs.find(unit);
+        if (found != one.runs.end() && found->second.number <= number)
+        {
+            found->second.stopping = true;
+            this->loop.after(stop_time,
+                             [self = this->shared_from_this(), id = one.place.id, unit,
+                              token = found->second.token]
+                             {
+                                 const std::lock_guard lock(self->guard);
+                                 worker& there = self->workers.at(id);
+                                 const auto again = there.runs.find(unit);
+                                 if (again != there.runs.end() && again->second.token == token)
+                                 {
+                                     self->finish(there, unit, "stopped");
+                                 }
+                             });
+        }
+        respond(this->plain(one, 200, ""));
+    }
+
+    void on_hold(worker& one, json_reader& body, const responder& respond)
+    {
+        const auto noted = static_cast<std::uint64_t>(body.whole("lastSeen", false));
+        one.lease_until = std::max(one.lease_until, body.whole("deadlineMs", false));
+        std::erase_if(one.ends, [noted](const end& each) { return each.number <= noted; });
+        const core::milliseconds wait{body.whole("waitMs", false)};
+        if (!one.ends.empty() || wait.count() == 0)
+        {
+            respond(this->lists(one));
+            return;
+        }
+        one.waiting.push_back(respond);
+        this->loop.after(wait,
+                         [self = this->shared_from_this(), id = one.place.id]
+                         {
+                             const std::lock_guard lock(self->guard);
+                             self->wake(self->workers.at(id));
+                         });
+    }
+
+    void wake(worker& one)
+    {
+        std::vector<responder> waiting;
+        waiting.swap(one.waiting);
+        for (const responder& respond : waiting)
+        {
+            if (!one.silent)
+            {
+                respond(this->lists(one));
+            }
+        }
+    }
+
+    net::server_response lists(const worker& one) const
+    {
+        Poco::JSON::Array::Ptr running(new Poco::JSON::Array);
+        for (const auto& [unit, each] : one.runs)
+        {
+            Poco::JSON::Array::Ptr row(new Poco::JSON::Array);
+            row->add(unit);
+            row->add(each.number);
+            row->add("");
+            row->add(50);
+            running->add(row);
+        }
+        Poco::JSON::Array::Ptr finished(new Poco::JSON::Array);
+        for (const end& each : one.ends)
+        {
+            Poco::JSON::Array::Ptr row(new Poco::JSON::Array);
+            row->add(each.number);
+            row->add(each.unit);
+            row->add(each.run);
+            row->add(each.how);
+            row->add("");
+            finished->add(row);
+        }
+        Poco::JSON::Object body;
+        body.set("clockMs", now_ms());
+        body.set("born", one.born);
+        body.set("running", running);
+        body.set("finished", finished);
+        net::server_response response;
+        response.body = platform::to_text(body);
+        return response;
+    }
+
+    void finish(worker& one, const std::string unit, const std::string& how)
+    {
+        const run ended = one.runs.at(unit);
+        one.runs.erase(unit);
+        std::uint64_t& barred = one.barred[unit];
+        barred = std::max(barred, ended.number);
+        one.ends.push_back({one.next_end++, unit, ended.number, how});
+        if (how == "done")
+        {
+            ++this->seen.done[unit];
+        }
+        if (ended.members > 1 && how != "done")
+        {
+            this->break_gang(ended.number);
+        }
+        this->wake(one);
+    }
+
+    void break_gang(std::uint64_t number)
+    {
+        for (auto& [id, one] : this->workers)
+        {
+            std::vector<std::string> units;
+            for (const auto& [unit, each] : one.runs)
+            {
+                if (each.number == number && each.working)
+                {
+                    units.push_back(unit);
+                }
+            }
+            for (const std::string& unit : units)
+            {
+                one.runs.at(unit).members = 1;
+                this->finish(one, unit, "broken");
+            }
+        }
+    }
+
+    net::event_loop& loop;
+    net::async_http_client client;
+    mutable std::recursive_mutex guard;
+    std::map<std::string, worker> workers;
+    worker_records seen;
+    std::int64_t next_born = 1000;
+    std::uint64_t next_token{};
+    int late_starts = 0;
+    core::milliseconds lateness{};
+};
+
+site_workers::site_workers(net::event_loop& loop, const std::vector<worker_place>& places)
+    : inner(std::make_shared<implementation>(loop))
+{
+    for (const worker_place& place : places)
+    {
+        this->inner->add(place);
+    }
+}
+
+site_workers::~site_workers() = default;
+
+worker_records site_workers::records() const
+{
+    const std::lock_guard lock(this->inner->guard);
+    return this->inner->seen;
+}
+
+void site_workers::reboot(const std::string& id)
+{
+    this->inner->loop.post(
+        [self = this->inner, id]
+        {
+            const std::lock_guard lock(self->guard);
+            worker& one = self->workers.at(id);
+            std::vector<std::uint64_t> gangs;
+            for (const auto& [unit, each] : one.runs)
+            {
+                if (each.members > 1)
+                {
+                    gangs.push_back(each.number);
+                }
+            }
+            for (const end& each : one.ends)
+            {
+                // An end that nobody noted is lost with this life, and its unit runs again.
+                self->seen.done.erase(each.unit);
+            }
+            one.runs.clear();
+            one.barred.clear();
+            one.ends.clear();
+            one.next_end = 1;
+            one.token = 0;
+            one.sequence = 0;
+            one.lease_until = 0;
+            one.born = ++self->next_born;
+            for (const std::uint64_t number : gangs)
+            {
+                self->break_gang(number);
+            }
+        });
+}
+
+void site_workers::set_silent(const std::string& id, bool silent)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->workers.at(id).silent = silent;
+}
+
+void site_workers::delay_starts(int count, core::milliseconds late)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->late_starts = count;
+    this->inner->lateness = late;
+}
+
+} // namespace chicorylift::testing
--- /dev/null
+++ b/tests/standins/site_workers.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "net/async_http_client.hpp"
+#include "net/async_http_server.hpp"
+#include "net/event_loop.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicorylift::testing
+{
+
+/// Addresses and size of one worker stand-in.
+struct worker_place
+{
+    std::string id;
+    /// Where the worker takes orders.
+    std::string address;
+    /// Where its agent hears it.
+    std::string agent;
+    std::string rack;
+    std::int64_t accelerators = 8;
+};
+
+/// What the workers saw, over all of them.
+struct worker_records
+{
+    /// Starts by unit name.
+    std::map<std::string, int> starts;
+    /// Good ends by unit name.
+    std::map<std::string, int> done;
+    /// What must never happen, one line each.
+    std::vector<std::string> violations;
+    int alone = 0;
+};
+
+/// Stand-ins for the users' workers, by their published protocol.
+///
+/// A unit's payload is its duration in milliseconds, or "fail". Gangs work from the moment at
+/// which all of their members are there; the payload then ends in "/N" for N members.
+class site_workers
+{
+public:
+    site_workers(net::event_loop& loop, const std::vector<worker_place>& places);
+    ~site_workers();
+    site_workers(const site_workers&) = delete;
+    site_workers& operator=(const site_workers&) = delete;
+
+    // Called from any thread.
+    [[nodiscard]] worker_records records() const;
+    /// The worker forgets everything and begins a new life under the same id.
+    void reboot(const std::string& id);
+    /// The worker answers nothing, and goes on with its work.
+    void set_silent(const std::string& id, bool silent);
+    /// The next starts get no answer and are carried out after @p late.
+    void delay_starts(int count, core::milliseconds late);
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> inner;
+};
+
+} // namespace chicorylift::testing
--- /dev/null
+++ b/tests/support/batch_site.cpp
@@ -0,0 +1,201 @@
+#include "support/batch_site.hpp"
+
+#include "net/http_client.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+
+namespace chicorylift::testing
+{
+
+namespace
+{
+
+/// Reads a variable of the tests and hides it from the daemons, which refuse what they don't know.
+std::string take_variable(const char* name)
+{
+    const char* const value = std::getenv(name);
+    const std::string text = value == nullptr ? "" : value;
+    ::unsetenv(name);
+    return text;
+}
+
+bool keeps_logs()
+{
+    static const bool keep = !take_variable("CHICORYLIFT_KEEP").empty();
+    return keep;
+}
+
+std::string fresh_folder()
+{
+    std::string pattern = std::filesystem::temp_directory_path() / "chicorylift-site-XXXXXX";
+    return ::mkdtemp(pattern.data());
+}
+
+} // namespace
+
+std::string daemon_path()
+{
+    static const std::string folder = take_variable("CHICORYLIFT_BIN");
+    static const bool hidden = keeps_logs() || !take_variable("CHICORYLIFT_UPDATE_GOLDEN").empty();
+    static_cast<void>(hidden);
+    return (folder.empty() ? "build" : folder) + "/chicoryliftd";
+}
+
+batch_site::batch_site(int entry_count, int agent_count) : folder(fresh_folder())
+{
+    const std::string store = free_address();
+    this->table = std::make_unique<site_store>(this->loop, store);
+    std::vector<worker_place> places;
+    for (int index = 0; index < agent_count; ++index)
+    {
+        const std::string number = std::to_string(index);
+        places.push_back({"i-" + number, free_address(), free_address(),
+                          "r" + std::to_string(index / 2)});
+    }
+    this->machines = std::make_unique<site_workers>(this->loop, places);
+    this->thread = std::thread([this] { this->loop.run(); });
+    for (int index = 0; index < agent_count; ++index)
+    {
+        const std::string name = "agent-" + std::to_string(index);
+        const worker_place& place = places[static_cast<std::size_t>(index)];
+        member one;
+        one.metrics = free_address();
+        one.program = process({daemon_path(), "batch", "--role", "agent", "--name", name, "--zone",
+                               "z", "--region", "r", "--listen", free_address(), "--control",
+                               place.agent, "--worker", place.address, "--store", store,
+                               "--metrics", one.metrics},
+                              this->folder + "/" + name + ".log");
+        this->agents.push_back(std::move(one));
+    }
+    for (int index = 0; index < entry_count; ++index)
+    {
+        const std::string name = "entry-" + std::to_string(index);
+        member one;
+        one.front = free_address();
+        one.ready = free_address();
+        one.metrics = free_address();
+        one.program = process({daemon_path(), "batch", "--role", "entry", "--name", name, "--zone",
+                               "z", "--region", "r", "--listen", free_address(), "--front",
+                               one.front, "--ready", one.ready, "--store", store, "--metrics",
+                               one.metrics},
+                              this->folder + "/" + name + ".log");
+        this->entries.push_back(std::move(one));
+    }
+}
+
+batch_site::~batch_site()
+{
+    this->entries.clear();
+    this->agents.clear();
+    this->loop.stop();
+    this->thread.join();
+    this->machines.reset();
+    this->table.reset();
+    if (!keeps_logs())
+    {
+        std::filesystem::remove_all(this->folder);
+    }
+}
+
+void batch_site::configure(std::uint64_t version, const std::vector<std::string>& keys)
+{
+    std::string list;
+    for (const std::string& key : keys)
+    {
+        list += (list.empty() ? "\"" : ",\"") + key + "\"";
+    }
+    this->table->put(
+        "op", "config",
+        R"({"version":)" + std::to_string(version) +
+            R"(,"routes":[{"name":"q","host":"jobs.example","pathPrefix":"/q/","kind":"unsafe",)"
+            R"("timeoutMs":3000,"targetLatencyMs":500,"priority":0,"service":"svc","attempts":2,)"
+            R"("slowdown":2.0,"public":false}],"services":[{"name":"svc"}],)"
+            R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,)"
+            R"("idleTimeoutMs":15000},"tenants":[{"name":"a","apiKeys":[)" +
+            list + R"(],"guaranteed":{"gpu":8}}]})");
+}
+
+caller_answer batch_site::call(int entry, const std::string& method, const std::string& job,
+                               const std::string& body, const std::string& key) const
+{
+    net::client_request request;
+    request.address = this->entries[static_cast<std::size_t>(entry)].front;
+    request.method = method;
+    request.path = "/q/" + job;
+    request.headers = {{"X-Api-Key", key}, {"Chicorylift-Deadline-Ms", "3000"}};
+    request.host = "jobs.example";
+    request.body = body;
+    request.answer_patience = std::chrono::milliseconds{3500};
+    const auto answer = net::exchange(request);
+    return answer.ok() ? caller_answer{answer->status, answer->body} : caller_answer{};
+}
+
+bool batch_site::wait_for(const std::function<bool()>& condition, core::milliseconds limit)
+{
+    constexpr core::milliseconds pause{20};
+    const core::instant end = core::boot_clock::now() + limit;
+    while (core::boot_clock::now() < end)
+    {
+        if (condition())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return condition();
+}
+
+bool batch_site::wait_for_state(const std::string& job, const std::string& state,
+                                core::milliseconds limit) const
+{
+    return wait_for([&] { return this->call(0, "GET", job).body.find(state) != std::string::npos; },
+                    limit);
+}
+
+int batch_site::lead() const
+{
+    // The last to take the lead has the highest epoch.
+    int found = -1;
+    long highest = 0;
+    for (std::size_t index = 0; index < this->agents.size(); ++index)
+    {
+        const std::string log = this->agents[index].program.output();
+        std::size_t at = log.rfind("\"event\":\"lead_taken\"");
+        if (at != std::string::npos)
+        {
+            at = log.find("\"epoch\":", at);
+            const long epoch = std::atol(log.c_str() + at + 8);
+            if (epoch > highest)
+            {
+                highest = epoch;
+                found = static_cast<int>(index);
+            }
+        }
+    }
+    return found;
+}
+
+std::string batch_site::front(int entry) const
+{
+    return this->entries[static_cast<std::size_t>(entry)].front;
+}
+
+std::string batch_site::ready(int entry) const
+{
+    return this->entries[static_cast<std::size_t>(entry)].ready;
+}
+
+std::string batch_site::metrics(int entry) const
+{
+    return this->entries[static_cast<std::size_t>(entry)].metrics;
+}
+
+std::string job_body(const std::string& payload, int units, int accelerators, bool gang)
+{
+    return R"({"spec":")" + payload + R"(","steps":[{"count":)" + std::to_string(units) +
+           R"(,"cpu":1000,"memMb":1000,"gpu":)" + std::to_string(accelerators) +
+           R"(,"estimateMs":300)" + (gang ? R"(,"gang":true)" : "") + "}]}";
+}
+
+} // namespace chicorylift::testing
--- /dev/null
+++ b/tests/support/batch_site.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "standins/site_store.hpp"
+#include "standins/site_workers.hpp"
+#include "support/process.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace chicorylift::testing
+{
+
+/// Answer that a caller got.
+struct caller_answer
+{
+    int status{};
+    std::string body;
+};
+
+/// @return the daemon under test.
+[[nodiscard]] std::string daemon_path();
+
+/// A site of real entries and agents as processes, with stand-ins for store and workers.
+class batch_site
+{
+public:
+    batch_site(int entries, int agents);
+    ~batch_site();
+    batch_site(const batch_site&) = delete;
+    batch_site& operator=(const batch_site&) = delete;
+
+    /// Writes a version of the configuration; @p keys may call.
+    void configure(std::uint64_t version, const std::vector<std::string>& keys);
+    /// Sends a call to an entry; status 0 when there was no answer.
+    [[nodiscard]] caller_answer call(int entry, const std::string& method, const std::string& job,
+                                     const std::string& body = {},
+                                     const std::string& key = "key-a") const;
+    /// Waits until @p condition holds.
+    /// @return whether it did within @p limit.
+    static bool wait_for(const std::function<bool()>& condition,
+                         core::milliseconds limit = std::chrono::seconds{30});
+    /// Waits until an entry shows the job in that state.
+    [[nodiscard]] bool wait_for_state(const std::string& job, const std::string& state,
+                                      core::milliseconds limit = std::chrono::seconds{30}) const;
+    /// @return the index of the agent that leads, or -1; read from the agents' logs.
+    [[nodiscard]] int lead() const;
+
+    [[nodiscard]] std::string front(int entry) const;
+    [[nodiscard]] std::string ready(int entry) const;
+    [[nodiscard]] std::string metrics(int entry) const;
+
+    site_store& store() { return *this->table; }
+    site_workers& workers() { return *this->machines; }
+    process& entry(int index) { return this->entries[static_cast<std::size_t>(index)].program; }
+    process& agent(int index) { return this->agents[static_cast<std::size_t>(index)].program; }
+    [[nodiscard]] const process& agent(int index) const
+    {
+        return this->agents[static_cast<std::size_t>(index)].program;
+    }
+
+private:
+    struct member
+    {
+        process program;
+        std::string front;
+        std::string ready;
+        std::string metrics;
+    };
+
+    std::string folder;
+    net::event_loop loop;
+    std::unique_ptr<site_store> table;
+    std::unique_ptr<site_workers> machines;
+    std::thread thread;
+    std::vector<member> entries;
+    std::vector<member> agents;
+};
+
+/// @return a job body with one step.
+[[nodiscard]] std::string job_body(const std::string& payload, int units, int accelerators,
+                                   bool gang);
+
+} // namespace chicorylift::testing
