--- a/include/chicorylift/batch/election.hpp
+++ b/include/chicorylift/batch/election.hpp
@@ -14,6 +14,8 @@
     core::milliseconds suspect_after{1300};
     /// How long others are given to say that they hear the lead.
     core::milliseconds probe_time{250};
+    /// Pause between two attempts to take over from a lead that cannot reach the store.
+    core::milliseconds without_store_pause{1000};
     /// Pause of a member that no other member answers, so that one that is cut off does not take
     /// the lead again and again; doubles up to the longest.
     core::milliseconds first_isolated_pause{3000};
@@ -40,6 +42,11 @@
 
     /// Takes in word from the lead of the newest known epoch.
     void on_lead_heard(core::instant now);
+    /// The lead is heard and says that the store does not answer it; whoever reaches the store
+    /// may take its place.
+    void on_lead_without_store(core::instant now);
+    /// The lead is heard and reaches the store.
+    void on_lead_with_store() noexcept;
     /// The lead said that it stops or does not lead, or its process is gone.
     void on_lead_gone(core::instant now);
     /// Takes in another member's answer to the probe.
@@ -60,6 +67,7 @@
     bool probing = false;
     bool standing = false;
     bool known_gone = false;
+    bool without_store = false;
     bool answered = false;
     bool refuted = false;
     core::milliseconds isolated_pause;
--- a/src/batch/election.cpp
+++ b/src/batch/election.cpp
@@ -22,10 +22,24 @@
     this->heard = now;
     this->known_gone = false;
     this->probing = false;
-    this->standing = false;
+    this->standing = this->standing && this->without_store;
     this->isolated_since = {};
 }
 
+void election::on_lead_with_store() noexcept
+{
+    this->without_store = false;
+}
+
+void election::on_lead_without_store(core::instant now)
+{
+    if (!this->without_store)
+    {
+        this->without_store = true;
+        this->not_before = std::max(this->not_before, now + this->settings.jitter);
+    }
+}
+
 void election::on_lead_gone(core::instant now)
 {
     if (!this->known_gone && !this->standing)
@@ -50,7 +64,7 @@
 {
     this->standing = false;
     this->probing = false;
-    this->not_before = now + retry_pause + this->settings.jitter;
+    this->not_before = std::max(this->not_before, now + retry_pause + this->settings.jitter);
 }
 
 bool election::hears_lead(core::instant now) const noexcept
@@ -60,10 +74,21 @@
 
 election_step election::tick(bool others, core::instant now)
 {
-    if (this->hears_lead(now) || this->standing || now < this->not_before)
+    if (this->standing || now < this->not_before)
     {
         return election_step::nothing;
     }
+    if (this->hears_lead(now))
+    {
+        if (!this->without_store)
+        {
+            return election_step::nothing;
+        }
+        // The attempt fails without harm when the store answers nobody.
+        this->standing = true;
+        this->not_before = now + this->settings.without_store_pause;
+        return election_step::stand;
+    }
     if (!this->probing)
     {
         this->probing = true;
--- a/src/site/agent_lead.cpp
+++ b/src/site/agent_lead.cpp
@@ -97,6 +97,14 @@
     const bool is_new = orders.epoch() > this->epoch;
     this->follow(orders.epoch(), from, orders.lead());
     this->election.on_lead_heard(now);
+    if (orders.store_lost())
+    {
+        this->election.on_lead_without_store(now);
+    }
+    else
+    {
+        this->election.on_lead_with_store();
+    }
     this->unwritten_starts = orders.unwritten_starts();
     if (orders.reply_to() != 0)
     {
--- a/src/site/daemon.cpp
+++ b/src/site/daemon.cpp
@@ -24,21 +24,26 @@
 
 namespace events = support::events;
 
+/// @return the signals that the loop handles; blocks them in this thread and all that follow.
+sigset_t block_signals()
+{
+    sigset_t wanted;
+    sigemptyset(&wanted);
+    sigaddset(&wanted, SIGTERM);
+    sigaddset(&wanted, SIGINT);
+    sigaddset(&wanted, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &wanted, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return wanted;
+}
+
 /// Delivers signals on the loop's thread.
 class signal_watch
 {
 public:
-    signal_watch(net::event_loop& loop, std::function<void(int)> on_signal)
+    signal_watch(net::event_loop& loop, const sigset_t& wanted, std::function<void(int)> on_signal)
         : loop(loop), on_signal(std::move(on_signal))
     {
-        sigset_t wanted;
-        sigemptyset(&wanted);
-        sigaddset(&wanted, SIGTERM);
-        sigaddset(&wanted, SIGINT);
-        sigaddset(&wanted, SIGHUP);
-        // Blocked here, before other threads begin, so that only the descriptor gets them.
-        pthread_sigmask(SIG_BLOCK, &wanted, nullptr);
-        std::signal(SIGPIPE, SIG_IGN);
         this->descriptor = ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
         this->loop.watch(this->descriptor, EPOLLIN, [this](std::uint32_t) { this->read(); });
     }
@@ -66,11 +71,12 @@
 };
 
 template <class Role>
-void run_role(net::event_loop& loop, const settings& values, int argument_count, char** arguments)
+void run_role(net::event_loop& loop, const settings& values, const sigset_t& wanted,
+              int argument_count, char** arguments)
 {
     std::unique_ptr<Role> role;
     const signal_watch signals(
-        loop,
+        loop, wanted,
         [&](int number)
         {
             if (number == SIGHUP)
@@ -99,6 +105,8 @@
         return parsed.exit_code;
     }
     const settings& values = parsed.values;
+    // Before any other thread begins, so that only the loop's descriptor gets them.
+    const sigset_t wanted = block_signals();
     events::start(values.name, support::random_name());
     events::write("started", {{"role", values.role},
                               {"zone", values.zone},
@@ -113,11 +121,11 @@
         net::event_loop loop;
         if (values.role == "entry")
         {
-            run_role<entry>(loop, values, argument_count, arguments);
+            run_role<entry>(loop, values, wanted, argument_count, arguments);
         }
         else
         {
-            run_role<agent>(loop, values, argument_count, arguments);
+            run_role<agent>(loop, values, wanted, argument_count, arguments);
         }
     }
     catch (const std::exception& fault)
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -18,14 +18,15 @@
 // News within this time is decided on together.
 constexpr core::milliseconds pass_delay{4};
 constexpr core::milliseconds config_wait{3000};
-constexpr core::milliseconds job_wait{3000};
-constexpr core::milliseconds lead_wait{4000};
+// A silent store shows only when a call has waited in vain.
+constexpr core::milliseconds job_wait{1000};
+constexpr core::milliseconds lead_wait{1500};
 constexpr core::milliseconds member_wait{8000};
 // Ends that finish no job are written together.
 constexpr core::milliseconds lazy_write_interval{200};
 constexpr core::milliseconds write_patience{800};
 // The store counts as lost for placing after this long.
-constexpr core::milliseconds store_lost_after{700};
+constexpr core::milliseconds store_lost_after{500};
 // An agent that was not heard for this long is called, so that one that restarted finds its lead.
 constexpr core::milliseconds silent_after{900};
 constexpr core::milliseconds majority_freshness{1500};
@@ -55,7 +56,7 @@
     batch::scheduler_settings result;
     result.epoch = epoch;
     result.lapse = lapse_time(values);
-    result.remote_factor = static_cast<double>(values.remote_factor);
+    result.remote_factor = values.remote_factor;
     return result;
 }
 
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -77,7 +77,7 @@
         this->newest = std::max(this->newest, this->list_version);
         this->loaded = true;
         this->succeed(this->list_asked);
-        this->watch();
+        this->watch(this->settings.wait);
     }
 
     void drop_unlisted()
@@ -101,11 +101,12 @@
         }
     }
 
-    void watch()
+    /// @param wait how long the service may wait for changes.
+    void watch(core::milliseconds wait)
     {
         const core::instant asked = core::boot_clock::now();
         const std::weak_ptr<implementation> self = this->shared_from_this();
-        this->service.watch(this->settings.table, this->after, this->settings.wait,
+        this->service.watch(this->settings.table, this->after, wait,
                             [self, asked](const absl::StatusOr<ports::row_page>& page)
                             {
                                 if (const auto alive = self.lock())
@@ -124,7 +125,8 @@
                 this->list({});
                 return;
             }
-            this->retry([](implementation& self) { self.watch(); });
+            // At once, so that the service's return shows as soon as it is there.
+            this->retry([](implementation& self) { self.watch(core::milliseconds{0}); });
             return;
         }
         if (page->version < this->newest)
@@ -146,7 +148,7 @@
         }
         this->newest = std::max(this->newest, page->version);
         this->succeed(asked);
-        this->watch();
+        this->watch(this->settings.wait);
     }
 
     void take(const ports::row& row)
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -18,6 +18,7 @@
 using core::error_kind;
 using core::make_error;
 
+constexpr double milliseconds_a_second = 1000.0;
 constexpr std::string_view prefix = "CHICORYLIFT_";
 /// Set by whoever starts the process; names the settings file.
 constexpr const char* settings_file_variable = "CHICORYLIFT_BOOT";
@@ -36,7 +37,7 @@
     "CHICORYLIFT_STORE",
     "CHICORYLIFT_LONGEST_LEASE_MS",
     "CHICORYLIFT_KEY_REVOCATION_MS",
-    "CHICORYLIFT_STOP_GRACE_MS",
+    "CHICORYLIFT_STOP_GRACE_S",
     "CHICORYLIFT_REMOTE_FACTOR",
     "CHICORYLIFT_MOST_CONNECTIONS",
 };
@@ -113,8 +114,16 @@
              "longest lease that workers grant");
     add_time(app, "key-revocation-ms", values.key_revocation, "CHICORYLIFT_KEY_REVOCATION_MS",
              "time after which a removed key must not work any more");
-    add_time(app, "stop-grace-ms", values.stop_grace, "CHICORYLIFT_STOP_GRACE_MS",
-             "time that a stopping process is given");
+    app.add_option_function<double>(
+           "--stop-grace-s",
+           [&values](const double& given)
+           {
+               values.stop_grace =
+                   core::milliseconds{static_cast<std::int64_t>(given * milliseconds_a_second)};
+           },
+           "time that a stopping process is given, in seconds")
+        ->envname("CHICORYLIFT_STOP_GRACE_S")
+        ->default_str("6");
     app.add_option("--remote-factor", values.remote_factor,
                    "factor on run times away from data or gang")
         ->envname("CHICORYLIFT_REMOTE_FACTOR")
@@ -158,7 +167,7 @@
     // Shorter leases lapse before a new lead can renew them.
     checks.push_back(check_time("longest-lease-ms", values.longest_lease, 3000, hour_ms));
     checks.push_back(check_time("key-revocation-ms", values.key_revocation, 2500, hour_ms));
-    checks.push_back(check_time("stop-grace-ms", values.stop_grace, 500, hour_ms));
+    checks.push_back(check_time("stop-grace-s", values.stop_grace, 500, hour_ms));
     if (values.most_connections == 0)
     {
         checks.push_back(invalid("most-connections", "0", "at least 1"));
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -31,7 +31,7 @@
     core::milliseconds longest_lease{6000};
     core::milliseconds key_revocation{5000};
     core::milliseconds stop_grace{6000};
-    std::int64_t remote_factor = 3;
+    double remote_factor = 3;
     std::uint32_t most_connections = 3000;
     bool check_only = false;
 };
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -204,10 +204,10 @@
                          one_step_job("fill" + std::to_string(number), "x", queue_with(2), step),
                          {{seconds{20}}});
         }
-        site->submit(milliseconds{12000},
-                     one_step_job("urgent", "x", queue_with(0),
-                                  step_of(units, accelerators, length)),
-                     {std::vector<milliseconds>{length}});
+        site->submit(
+            milliseconds{12000},
+            one_step_job("urgent", "x", queue_with(0), step_of(units, accelerators, length)),
+            {std::vector<milliseconds>{length}});
         site->play(seconds{19});
         return site;
     };
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -221,6 +221,25 @@
     CHECK(second >= first + milliseconds{2000});
 }
 
+TEST_CASE("a lead that cannot reach the store is replaced by a member that can")
+{
+    election vote({}, at(milliseconds{0}));
+    vote.on_lead_heard(at(milliseconds{100}));
+    CHECK(vote.tick(true, at(milliseconds{110})) == election_step::nothing);
+    vote.on_lead_without_store(at(milliseconds{120}));
+    CHECK(vote.tick(true, at(milliseconds{130})) == election_step::stand);
+    // The store answers nobody: the next attempt comes after a pause, not at each word of the lead.
+    vote.on_stand_failed(at(milliseconds{200}));
+    vote.on_lead_heard(at(milliseconds{300}));
+    vote.on_lead_without_store(at(milliseconds{300}));
+    CHECK(vote.tick(true, at(milliseconds{700})) == election_step::nothing);
+    CHECK(vote.tick(true, at(milliseconds{1200})) == election_step::stand);
+    vote.on_stand_failed(at(milliseconds{1300}));
+    vote.on_lead_heard(at(milliseconds{1400}));
+    vote.on_lead_with_store();
+    CHECK(vote.tick(true, at(milliseconds{2500})) == election_step::nothing);
+}
+
 TEST_CASE("a lead that says that it is gone is replaced without waiting for its silence")
 {
     election vote({}, at(milliseconds{0}));
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -13,11 +13,11 @@
 {
 
 using namespace chicorylift;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 using testing::batch_site;
 using testing::job_body;
 using testing::worker_records;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 std::string job_name(int number)
 {
@@ -297,9 +297,8 @@
     ::setenv("CHICORYLIFT_LEESE", "3", 1);
     testing::process wrong({program, "batch", "--role", "agent"},
                            "/tmp/chicorylift-wrong-variable.log");
-    CHECK(batch_site::wait_for([&]
-                               { return wrong.output().find("CHICORYLIFT_LEESE") !=
-                                        std::string::npos; }));
+    CHECK(batch_site::wait_for(
+        [&] { return wrong.output().find("CHICORYLIFT_LEESE") != std::string::npos; }));
     ::unsetenv("CHICORYLIFT_LEESE");
     CHECK(wrong.stop() != 0);
 }
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -80,8 +80,7 @@
 
 } // namespace
 
-struct site_store::implementation
-    : public std::enable_shared_from_this<site_store::implementation>
+struct site_store::implementation : public std::enable_shared_from_this<site_store::implementation>
 {
     explicit implementation(net::event_loop& loop) : loop(loop) {}
 
@@ -171,8 +170,8 @@
             const auto found = this->table.find(name);
             const bool exists = found != this->table.end() && !found->second.deleted;
             const std::uint64_t version = exists ? found->second.version : 0;
-            conflict = conflict ||
-                       version != static_cast<std::uint64_t>(condition.whole("schemaVersion"));
+            conflict =
+                conflict || version != static_cast<std::uint64_t>(condition.whole("schemaVersion"));
             if (exists)
             {
                 present->add(print(name, found->second));
@@ -215,8 +214,7 @@
     void read(std::map<std::string, std::string> query, const responder& respond)
     {
         const std::lock_guard lock(this->guard);
-        const std::size_t limit =
-            query["limit"].empty() ? page_size : std::stoull(query["limit"]);
+        const std::size_t limit = query["limit"].empty() ? page_size : std::stoull(query["limit"]);
         Poco::JSON::Array::Ptr rows(new Poco::JSON::Array);
         bool truncated = false;
         for (auto each = this->table.lower_bound({query["table"], query["part"], query["from"]});
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -115,8 +115,7 @@
             request.body = platform::to_text(body);
             this->client.send(request, [](const absl::StatusOr<net::client_response>&) {});
         }
-        this->loop.after(beat_interval, [self = this->shared_from_this(), id]
-                         { self->beat(id); });
+        this->loop.after(beat_interval, [self = this->shared_from_this(), id] { self->beat(id); });
     }
 
     void watch_lease(const std::string& id)
@@ -130,8 +129,8 @@
                 this->finish(one, one.runs.begin()->first, "lapsed");
             }
         }
-        this->loop.after(interval, [self = this->shared_from_this(), id]
-                         { self->watch_lease(id); });
+        this->loop.after(interval,
+                         [self = this->shared_from_this(), id] { self->watch_lease(id); });
     }
 
     void answer(worker& one, const net::server_request& request, const responder& respond)
@@ -290,8 +289,7 @@
                              if (found != one.runs.end() && found->second.token == token &&
                                  !found->second.stopping)
                              {
-                                 self->finish(one, unit,
-                                              found->second.fails ? "failed" : "done");
+                                 self->finish(one, unit, found->second.fails ? "failed" : "done");
                              }
                          });
     }
--- a/tests/support/batch_site.cpp
+++ b/tests/support/batch_site.cpp
@@ -50,8 +50,8 @@
     for (int index = 0; index < agent_count; ++index)
     {
         const std::string number = std::to_string(index);
-        places.push_back({"i-" + number, free_address(), free_address(),
-                          "r" + std::to_string(index / 2)});
+        places.push_back(
+            {"i-" + number, free_address(), free_address(), "r" + std::to_string(index / 2)});
     }
     this->machines = std::make_unique<site_workers>(this->loop, places);
     this->thread = std::thread([this] { this->loop.run(); });
@@ -61,11 +61,12 @@
         const worker_place& place = places[static_cast<std::size_t>(index)];
         member one;
         one.metrics = free_address();
-        one.program = process({daemon_path(), "batch", "--role", "agent", "--name", name, "--zone",
-                               "z", "--region", "r", "--listen", free_address(), "--control",
-                               place.agent, "--worker", place.address, "--store", store,
-                               "--metrics", one.metrics},
-                              this->folder + "/" + name + ".log");
+        one.program =
+            process({daemon_path(), "batch",        "--role",    "agent",     "--name",
+                     name,          "--zone",       "z",         "--region",  "r",
+                     "--listen",    free_address(), "--control", place.agent, "--worker",
+                     place.address, "--store",      store,       "--metrics", one.metrics},
+                    this->folder + "/" + name + ".log");
         this->agents.push_back(std::move(one));
     }
     for (int index = 0; index < entry_count; ++index)
@@ -75,10 +76,10 @@
         one.front = free_address();
         one.ready = free_address();
         one.metrics = free_address();
-        one.program = process({daemon_path(), "batch", "--role", "entry", "--name", name, "--zone",
-                               "z", "--region", "r", "--listen", free_address(), "--front",
-                               one.front, "--ready", one.ready, "--store", store, "--metrics",
-                               one.metrics},
+        one.program = process({daemon_path(), "batch",        "--role",  "entry",     "--name",
+                               name,          "--zone",       "z",       "--region",  "r",
+                               "--listen",    free_address(), "--front", one.front,   "--ready",
+                               one.ready,     "--store",      store,     "--metrics", one.metrics},
                               this->folder + "/" + name + ".log");
         this->entries.push_back(std::move(one));
     }
