--- a/benchmark/decisions.hpp
+++ b/benchmark/decisions.hpp
@@ -10,4 +10,8 @@
 /// Measures nanoseconds and bytes per decision as the cell and the fleet grow.
 int run_cost();
 
+/// Compares weightings of the batch scheduler over seeded days; prints a table and JSON lines.
+/// @return the exit code.
+int run_load(int argument_count, char** arguments);
+
 } // namespace chicorylift::benchmark
--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -16,6 +16,10 @@
     {
         return run_cost();
     }
-    std::cerr << "bench: unknown measurement \"" << what << "\"; allowed are decisions, cost\n";
+    if (what == "load")
+    {
+        return run_load(argument_count - 1, arguments + 1);
+    }
+    std::cerr << "bench: unknown measurement \"" << what << "\"; allowed are decisions, cost, load\n";
     return usage_error;
 }
--- a/include/chicorylift/batch/election.hpp
+++ b/include/chicorylift/batch/election.hpp
@@ -56,6 +56,8 @@
 
     /// @param others whether other members are known.
     [[nodiscard]] election_step tick(bool others, core::instant now);
+    /// @return whether the last step to stand still holds; word of a lead revokes it.
+    [[nodiscard]] bool is_standing() const noexcept { return this->standing; }
     /// @return whether the lead was heard within the time of suspicion.
     [[nodiscard]] bool hears_lead(core::instant now) const noexcept;
 
--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -161,6 +161,17 @@
     std::string detail;
 };
 
+/// What the placing of work weighs; the users' two weightings differ here.
+struct placing_weights
+{
+    /// Urgent work beyond its guarantee may cost others so many core-seconds of lost work ...
+    double reclaim_base = 190;
+    /// ... and this many times its own work more.
+    double reclaim_factor = 0.9;
+    /// Orders a queue's jobs by size, small ones first; else by arrival.
+    bool small_first = true;
+};
+
 /// Bounds of a scheduler.
 struct scheduler_settings
 {
@@ -173,6 +184,7 @@
     core::milliseconds resend = std::chrono::milliseconds{800};
     /// Factor on the duration of work away from its rack.
     double remote_factor = 3;
+    placing_weights weights;
     /// Longest wait for the rack that holds the data or the gang.
     core::milliseconds rack_patience = std::chrono::milliseconds{2000};
 };
--- a/src/batch/election.cpp
+++ b/src/batch/election.cpp
@@ -29,6 +29,7 @@
 void election::on_lead_with_store() noexcept
 {
     this->without_store = false;
+    this->standing = false;
 }
 
 void election::on_lead_without_store(core::instant now)
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -1,6 +1,7 @@
 #include "batch/scheduler_impl.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 /// The pass that finds work which could run, and places it.
@@ -19,8 +20,6 @@
 constexpr core::milliseconds gang_patience{2000};
 constexpr double milliseconds_a_second = 1000.0;
 
-// Urgent work beyond its guarantee may cost others this many times its own work.
-constexpr double most_loss_for_gain = 1.5;
 // Time that resumed work takes to come back to its checkpoint.
 constexpr core::milliseconds restore_time{600};
 // An accelerator's work counts as that of so many cores.
@@ -173,7 +172,7 @@
     const auto add = [&](job_state& job, std::int64_t occurrence, std::int64_t step,
                          std::vector<std::int64_t> units, core::instant since)
     {
-        work_group group{&job, occurrence, step, std::move(units), since, 0, false};
+        work_group group{&job, occurrence, step, std::move(units), since, 0, false, false};
         this->waiting += group.units.size();
         this->rank(group, now);
         groups.push_back(std::move(group));
@@ -267,12 +266,12 @@
     const auto objective = core::milliseconds{static_cast<std::int64_t>(
                                static_cast<double>(chain.count()) * job.terms.slowdown)} +
                            job.terms.target_latency;
-    const bool late = job.spec.occurrences == 0 && now - job.arrived + chain > objective;
+    group.late = job.spec.occurrences == 0 && now - job.arrived + chain > objective;
     const step_spec& step = this->spec_of(group);
-    const double size = static_cast<double>(step.per_unit.accelerators + 1) *
-                        static_cast<double>(step.units) *
+    const double size = static_cast<double>(step.units) * work_rate(step) *
                         static_cast<double>(step.estimate.count()) / milliseconds_a_second;
-    group.rank = static_cast<double>(job.terms.priority) * tier + (late ? tier / 2 : 0) + size;
+    group.rank = static_cast<double>(job.terms.priority) * tier + (group.late ? tier / 2 : 0) +
+                 (this->settings.weights.small_first ? size : waited);
 }
 
 std::map<agent_id, amount> site_scheduler::implementation::free_room() const
@@ -496,10 +495,20 @@
     }
     const double gain = static_cast<double>(group.units.size()) * work_rate(step) *
                         static_cast<double>(step.estimate.count()) / milliseconds_a_second;
-    if (!group.guaranteed && plan->cost > gain * most_loss_for_gain)
+    const placing_weights& weights = this->settings.weights;
+    if (!group.guaranteed &&
+        (group.late || plan->cost > weights.reclaim_base + gain * weights.reclaim_factor))
     {
         return;
     }
+    if (!plan->stops.empty())
+    {
+        this->record("work_reclaimed", group.job->spec.id,
+                     std::to_string(plan->stops.size()) + " runs with " +
+                         std::to_string(std::llround(plan->cost)) + " core-seconds make room for " +
+                         std::to_string(std::llround(gain)) +
+                         (group.guaranteed ? ", guaranteed" : ", not guaranteed"));
+    }
     for (const run_number number : plan->stops)
     {
         this->stop_run(this->runs.at(number), "room for " + group.job->spec.id.str());
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -364,6 +364,13 @@
     for (auto& [id, job] : this->jobs)
     {
         job.unsettled.erase(worker.agent);
+        if (job.is_active() && job.agents.erase(worker.agent) > 0)
+        {
+            // A later lead need not wait for it again.
+            job.written_agents.erase(worker.agent);
+            this->touch(job);
+            this->unwritten.insert(id);
+        }
     }
     // Its lists are read anew before it gets work again.
     worker.settled = false;
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -149,6 +149,8 @@
     /// Lower goes first.
     double rank{};
     bool guaranteed = false;
+    /// The objective cannot be met any more.
+    bool late = false;
 };
 
 /// Worker that a unit was given.
--- a/src/site/agent_lead.cpp
+++ b/src/site/agent_lead.cpp
@@ -361,7 +361,8 @@
         }
         return;
     }
-    if (stand)
+    // A lead may have been heard while the row was read.
+    if (stand && this->election.is_standing())
     {
         this->stand(current.epoch() + 1, version);
     }
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -60,6 +60,7 @@
     event_kind{"job_completed", 100, "all units of a job have ended well"},
     event_kind{"job_failed", 100, "a unit or gang has used up its attempts"},
     event_kind{"run_placed", 200, "units were given workers"},
+    event_kind{"work_reclaimed", 50, "runs are stopped for more urgent work, and what that loses"},
     event_kind{"run_started", 200, "a worker has begun a unit"},
     event_kind{"run_stopped", 200, "the lead stops a run, and why"},
     event_kind{"run_ended", 200, "a run ended in another way than well"},
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -155,6 +155,7 @@
         settings.epoch = epoch;
         settings.lapse = this->shape.lease + milliseconds{450};
         settings.remote_factor = this->shape.remote_factor;
+        settings.weights = this->shape.weights;
         this->epoch = epoch;
         this->scheduler = std::make_unique<batch::site_scheduler>(settings, this->now);
         this->scheduler->set_terms(this->queues, this->guaranteed);
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -28,6 +28,7 @@
     core::milliseconds stop_time{300};
     core::milliseconds gang_patience{3000};
     double remote_factor = 3;
+    batch::placing_weights weights;
 };
 
 /// What is true of a job, as against what is declared.
