Hold room for the first that waits, in the order of arrival

Load answered: large gangs that starve behind small work while room is scattered. The first group that cannot be placed keeps the room that will be free first for it; others may use it only if they are gone by then, or beside it.

--- a/benchmark/load.cpp
+++ b/benchmark/load.cpp
@@ -265,10 +265,12 @@
     CLI11_PARSE(app, argument_count, arguments);
     const std::vector<contestant> contestants{
         {"shipped", {}},
-        {"never-reclaim", {0, 0, true}},
-        {"eager-reclaim", {1e9, 0, true}},
-        {"proportional", {0, 1.5, true}},
-        {"arrival-order", {190, 0.9, false}},
+        {"never-hold", {190, 0.9, false, 9}},
+        {"hold-late", {190, 0.9, false, 0.7}},
+        {"small-first", {190, 0.9, true, 0}},
+        {"small-no-hold", {190, 0.9, true, 9}},
+        {"never-reclaim", {0, 0, false, 0}},
+        {"eager-reclaim", {1e9, 0, false, 0}},
     };
     constexpr double price_a_core_second = 3.9e-3;
     std::cout << std::left << std::setw(16) << "WEIGHTING" << std::right << std::setw(6) << "LOAD"
--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -169,7 +169,9 @@
     /// ... and this many times its own work more.
     double reclaim_factor = 0.9;
     /// Orders a queue's jobs by size, small ones first; else by arrival.
-    bool small_first = true;
+    bool small_first = false;
+    /// Work that has used this share of its waiting time keeps room for itself; above 1, never.
+    double hold_after = 0;
 };
 
 /// Bounds of a scheduler.
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -59,8 +59,17 @@
     void place(std::vector<work_group>& groups, core::instant now);
     bool place_group(const work_group& group, std::map<agent_id, amount>& available,
                      core::instant now);
-    void reclaim_for(const work_group& group, std::map<agent_id, amount>& available,
+    /// @return whether room is being made for the group.
+    bool reclaim_for(const work_group& group, std::map<agent_id, amount>& available,
                      core::instant now);
+    /// Keeps room for a group that cannot be placed yet, where it will be free first.
+    void hold_for(const work_group& group, core::instant now);
+    /// Withdraws held room from those that would not be gone in time.
+    void respect_holds(const work_group& group, std::vector<worker_room>& rooms,
+                       core::instant now) const;
+    /// @return room of a worker that runs will still take at @p until.
+    amount taken_beyond(const agent_id& agent, core::instant until, core::instant now) const;
+    core::instant expected_end(const run_state& run, core::instant now) const;
     void begin_run(const work_group& group, const std::vector<unit_placement>& placements,
                    core::instant now);
     void issue_orders(std::vector<order>& orders, core::instant now, bool store_lost);
@@ -90,6 +99,14 @@
     std::map<run_number, run_state> runs;
     std::map<agent_id, worker_state> workers;
     std::set<core::job_id> unwritten;
+    /// Room that is kept for a waiting group on a worker, until when it is expected to start.
+    struct hold
+    {
+        core::job_id job;
+        amount room;
+        core::instant until{};
+    };
+    std::map<agent_id, hold> holds;
     std::size_t waiting{};
     std::vector<decision_record> records;
 };
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -151,6 +151,8 @@
     bool guaranteed = false;
     /// The objective cannot be met any more.
     bool late = false;
+    /// So much of the time that it may wait is over that room is kept for it.
+    bool pressing = false;
 };
 
 /// Worker that a unit was given.
--- /dev/null
+++ b/src/batch/work_rate.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "chicorylift/batch/job.hpp"
+
+namespace chicorylift::batch
+{
+
+/// An accelerator's work counts as that of so many cores.
+inline constexpr double cores_an_accelerator = 8.0;
+
+/// @return work that one unit does in a second, in core-seconds.
+[[nodiscard]] inline double work_rate(const step_spec& step) noexcept
+{
+    constexpr double millicores_a_core = 1000.0;
+    return static_cast<double>(step.per_unit.millicores) / millicores_a_core +
+           static_cast<double>(step.per_unit.accelerators) * cores_an_accelerator;
+}
+
+} // namespace chicorylift::batch
