--- a/benchmark/load.cpp
+++ b/benchmark/load.cpp
@@ -67,12 +67,60 @@
 std::vector<job_kind> mix()
 {
     return {
-        {"tagging", 1, 4, 0.30, 3, 0.9, 1.5, 9, milliseconds{11000}, {13000, 53000, 0},
-         {1, 2, 4, 8, 8}, 3.0, milliseconds{1500}, 0.5, 0.6, 0.45, 0.05, 0.01},
-        {"matching", 0, 2, 0.37, 4, 0.8, 3.4, 21, milliseconds{2500}, {3700, 11000, 0},
-         {1, 2, 4, 8, 8}, 1.5, milliseconds{600}, 1.0, 0.8, 0.0, 0.0, 0.0},
-        {"cleanup", 2, 2, 0.20, 1, 0.3, 9.2, 55, milliseconds{7600}, {2800, 8200, 0},
-         {1}, 3.0, milliseconds{3000}, 0.0, 0.0, 0.45, 0.15, 0.01},
+        {"tagging",
+         1,
+         4,
+         0.30,
+         3,
+         0.9,
+         1.5,
+         9,
+         milliseconds{11000},
+         {13000, 53000, 0},
+         {1, 2, 4, 8, 8},
+         3.0,
+         milliseconds{1500},
+         0.5,
+         0.6,
+         0.45,
+         0.05,
+         0.01},
+        {"matching",
+         0,
+         2,
+         0.37,
+         4,
+         0.8,
+         3.4,
+         21,
+         milliseconds{2500},
+         {3700, 11000, 0},
+         {1, 2, 4, 8, 8},
+         1.5,
+         milliseconds{600},
+         1.0,
+         0.8,
+         0.0,
+         0.0,
+         0.0},
+        {"cleanup",
+         2,
+         2,
+         0.20,
+         1,
+         0.3,
+         9.2,
+         55,
+         milliseconds{7600},
+         {2800, 8200, 0},
+         {1},
+         3.0,
+         milliseconds{3000},
+         0.0,
+         0.0,
+         0.45,
+         0.15,
+         0.01},
     };
 }
 
@@ -132,10 +180,10 @@
             result.owed += sent.kind->worth * share;
             ++result.jobs;
             const double waited =
-                static_cast<double>((seen.all_started.value_or(core::at(length)) -
-                                     seen.accepted).count()) / thousand;
-            (sent.kind->priority == 0 ? result.urgent_waits : result.large_waits)
-                .push_back(waited);
+                static_cast<double>(
+                    (seen.all_started.value_or(core::at(length)) - seen.accepted).count()) /
+                thousand;
+            (sent.kind->priority == 0 ? result.urgent_waits : result.large_waits).push_back(waited);
             if (!seen.completed)
             {
                 continue;
@@ -191,19 +239,17 @@
         constexpr double spread = 0.8;
         const double mean_log = std::log(kind.mean_units) - spread * spread / 2;
         batch::step_spec step;
-        step.units = std::clamp(
-            static_cast<std::int64_t>(std::lround(
-                std::lognormal_distribution<double>(mean_log, spread)(this->random))),
-            std::int64_t{1}, static_cast<std::int64_t>(kind.most_units));
+        step.units =
+            std::clamp(static_cast<std::int64_t>(std::lround(
+                           std::lognormal_distribution<double>(mean_log, spread)(this->random))),
+                       std::int64_t{1}, static_cast<std::int64_t>(kind.most_units));
         step.per_unit = kind.need;
-        step.per_unit.accelerators =
-            kind.accelerators[this->random() % kind.accelerators.size()];
+        step.per_unit.accelerators = kind.accelerators[this->random() % kind.accelerators.size()];
         step.gang = step.units > 1 && this->chance() < kind.gang;
         step.rack_local = step.gang && this->chance() < kind.rack_local;
         step.checkpointing = this->chance() < kind.checkpointing;
         constexpr double duration_spread = 0.3;
-        const double factor =
-            std::lognormal_distribution<double>(0, duration_spread)(this->random);
+        const double factor = std::lognormal_distribution<double>(0, duration_spread)(this->random);
         const milliseconds duration{static_cast<std::int64_t>(
             std::min(1.0, factor) * static_cast<double>(kind.duration.count()))};
         step.estimate = milliseconds{static_cast<std::int64_t>(
@@ -220,10 +266,9 @@
         const bool poison = this->chance() < kind.poison;
         const bool cancelled = this->chance() < kind.cancelled;
         const double work = work_of(step, duration);
-        const milliseconds objective =
-            milliseconds{static_cast<std::int64_t>(static_cast<double>(duration.count()) *
-                                                   kind.slowdown)} +
-            kind.target;
+        const milliseconds objective = milliseconds{static_cast<std::int64_t>(
+                                           static_cast<double>(duration.count()) * kind.slowdown)} +
+                                       kind.target;
         // A gang that no site of this size can hold is not owed.
         const bool fits = step.units * step.per_unit.accelerators <= 96;
         this->sent[core::job_id(id)] = {&kind, work, objective, !poison && fits};
@@ -305,14 +350,12 @@
                       << std::setw(9) << sum.in_time << std::setw(7) << sum.late
                       << std::setprecision(3) << std::setw(9) << earned << std::setprecision(0)
                       << std::setw(9) << sum.wasted << std::setprecision(3) << std::setw(8) << net
-                      << std::setprecision(1) << std::setw(12)
-                      << percentile(sum.urgent_waits, tail) << std::setw(11)
-                      << percentile(sum.large_waits, tail) << '\n';
-            std::cerr << R"({"weighting":")" << each.name << R"(","load":)" << load
-                      << R"(,"jobs":)" << sum.jobs << R"(,"in_time":)" << sum.in_time
-                      << R"(,"late":)" << sum.late << R"(,"earned":)" << earned
-                      << R"(,"wasted":)" << sum.wasted << R"(,"violations":)" << sum.violations
-                      << "}\n";
+                      << std::setprecision(1) << std::setw(12) << percentile(sum.urgent_waits, tail)
+                      << std::setw(11) << percentile(sum.large_waits, tail) << '\n';
+            std::cerr << R"({"weighting":")" << each.name << R"(","load":)" << load << R"(,"jobs":)"
+                      << sum.jobs << R"(,"in_time":)" << sum.in_time << R"(,"late":)" << sum.late
+                      << R"(,"earned":)" << earned << R"(,"wasted":)" << sum.wasted
+                      << R"(,"violations":)" << sum.violations << "}\n";
         }
     }
     return 0;
--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -20,6 +20,7 @@
     {
         return run_load(argument_count - 1, arguments + 1);
     }
-    std::cerr << "bench: unknown measurement \"" << what << "\"; allowed are decisions, cost, load\n";
+    std::cerr << "bench: unknown measurement \"" << what
+              << "\"; allowed are decisions, cost, load\n";
     return usage_error;
 }
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -291,10 +291,18 @@
 double site_scheduler::implementation::loss_of(const run_state& run, const step_spec& step,
                                                core::instant now) const
 {
-    // Work that saves its state loses only the time that it takes to come back to it.
-    const core::milliseconds lost =
-        step.checkpointing ? std::min<core::milliseconds>(restore_time, now - run.began)
-                           : now - run.began;
+    // Runs that an earlier lead started have no known beginning; their progress tells.
+    core::milliseconds lost = now - run.began;
+    for (const member_state& member : run.members)
+    {
+        lost =
+            std::max(lost, step.estimate * std::min(member.percent, whole_percent) / whole_percent);
+    }
+    if (step.checkpointing)
+    {
+        // Work that saves its state loses only the time that it takes to come back to it.
+        lost = std::min(lost, restore_time);
+    }
     return static_cast<double>(run.members.size()) * work_rate(step) *
            static_cast<double>(lost.count()) / milliseconds_a_second;
 }
@@ -429,11 +437,16 @@
         }
     }
     ++group.job->open_runs;
-    this->record("run_placed", run.job,
-                 "step " + std::to_string(run.occurrence) + "." + std::to_string(run.step) +
-                     " units " + std::to_string(placements.size()) + " run " +
-                     std::to_string(number) + " on " + where + " after waiting " +
-                     std::to_string((now - group.waiting_since).count()) + " ms");
+    this->record(
+        "run_placed", run.job,
+        "step " + std::to_string(run.occurrence) + "." + std::to_string(run.step) + " units " +
+            std::to_string(placements.size()) + " run " + std::to_string(number) + " on " + where +
+            " after waiting " + std::to_string((now - group.waiting_since).count()) + " ms; each " +
+            std::to_string(run.per_unit.accelerators) + " accelerators, " +
+            std::to_string(run.per_unit.millicores) + " millicores, " +
+            std::to_string(this->spec_of(group).estimate.count()) + " ms" +
+            (this->spec_of(group).checkpointing ? ", saves its state" : "") + "; priority " +
+            std::to_string(group.job->terms.priority) + (group.guaranteed ? ", guaranteed" : ""));
     this->runs.emplace(number, std::move(run));
 }
 
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -164,7 +164,8 @@
         this->record("run_ended", run.job,
                      to_text(end.unit) + " run " + std::to_string(run.number) + " on " +
                          member.agent.str() + ": " + std::string(to_text(end.kind)) +
-                         (end.reason.empty() ? "" : " (" + end.reason + ")"));
+                         (end.reason.empty() ? "" : " (" + end.reason + ")") +
+                         (end.checkpoint.empty() ? "" : ", state " + end.checkpoint));
     }
     this->end_member(run, member, end.kind, end.checkpoint, member.agent, now);
 }
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -271,24 +271,25 @@
     start.payload = action.payload;
     start.checkpoint = action.checkpoint;
     start.lease_until = this->lease.end_on_worker(core::boot_clock::now());
-    this->worker->start(this->info.id, start,
-                        [this, key](const ports::order_outcome& outcome)
-                        {
-                            const bool started = outcome.result == ports::order_result::accepted;
-                            events::write(started ? "run_started"
-                                          : outcome.result == ports::order_result::unknown
-                                              ? "order_lost"
-                                              : "start_refused",
-                                          {{"unit", batch::to_text(key.first)},
-                                           {"run", key.second},
-                                           {"worker", this->info.id.str()},
-                                           {"epoch", this->epoch},
-                                           {"reason", outcome.reason}});
-                            this->figures.count("starts", started ? "accepted" : outcome.reason);
-                            this->runs.on_start_answer(key, answer_of(outcome.result),
-                                                       outcome.reason, core::boot_clock::now());
-                            this->report_soon();
-                        });
+    this->worker->start(
+        this->info.id, start,
+        [this, key, checkpoint = action.checkpoint](const ports::order_outcome& outcome)
+        {
+            const bool started = outcome.result == ports::order_result::accepted;
+            events::write(started                                          ? "run_started"
+                          : outcome.result == ports::order_result::unknown ? "order_lost"
+                                                                           : "start_refused",
+                          {{"unit", batch::to_text(key.first)},
+                           {"run", key.second},
+                           {"worker", this->info.id.str()},
+                           {"epoch", this->epoch},
+                           {"from_state", checkpoint},
+                           {"reason", outcome.reason}});
+            this->figures.count("starts", started ? "accepted" : outcome.reason);
+            this->runs.on_start_answer(key, answer_of(outcome.result), outcome.reason,
+                                       core::boot_clock::now());
+            this->report_soon();
+        });
 }
 
 void agent::check_orders()
