--- a/src/net/async_http_server.cpp
+++ b/src/net/async_http_server.cpp
@@ -22,6 +22,9 @@
 constexpr int listen_backlog = 1024;
 constexpr int accepts_a_round = 64;
 constexpr std::size_t read_chunk = 16384;
+// What a refused caller may still send before its connection is closed.
+constexpr std::size_t most_thrown_away = 4U << 20U;
+constexpr core::milliseconds linger_time{1500};
 // A peer that does not read is cut off when this much waits for it.
 constexpr std::size_t most_unsent = 1U << 20U;
 
@@ -93,6 +96,10 @@
     bool waiting_for_answer = false;
     bool close_after_answer = false;
     bool peer_finished = false;
+    /// The last answer has left; what the peer still sends is thrown away until it closes, since
+    /// closing with unread bytes would destroy the answer on its way.
+    bool lingering = false;
+    std::size_t thrown_away{};
     /// When the present request began to arrive, or the connection became idle.
     core::instant since{};
 };
@@ -252,6 +259,15 @@
             }
             return;
         }
+        if (here->lingering)
+        {
+            here->thrown_away += static_cast<std::size_t>(count);
+            if (here->thrown_away > most_thrown_away)
+            {
+                this->close(here);
+            }
+            return;
+        }
         if (here->input.empty() && !here->has_header && !here->waiting_for_answer)
         {
             here->since = this->loop.now();
@@ -429,6 +445,9 @@
     void refuse(handle here, int status, const std::string& text)
     {
         here->close_after_answer = true;
+        here->lingering = true;
+        here->has_header = false;
+        here->since = this->loop.now();
         here->input.clear();
         here->output += print(plain_error(status, text), false);
         static_cast<void>(this->flush(here));
@@ -455,6 +474,10 @@
             this->close(here);
             return false;
         }
+        if (here->output.empty() && here->lingering && !here->peer_finished)
+        {
+            return this->begin_lingering(here);
+        }
         const bool finished = here->output.empty() && !here->waiting_for_answer &&
                               (here->close_after_answer || here->peer_finished);
         if (finished || here->output.size() > most_unsent)
@@ -468,6 +491,22 @@
         return true;
     }
 
+    /// @return whether the connection is still open.
+    bool begin_lingering(handle here)
+    {
+        try
+        {
+            here->socket.shutdownSend();
+        }
+        catch (const Poco::Exception&)
+        {
+            this->close(here);
+            return false;
+        }
+        this->loop.rewatch(descriptor_of(here->socket), EPOLLIN);
+        return true;
+    }
+
     void close(handle here)
     {
         const auto found = this->answer_of.find(&*here);
@@ -507,8 +546,9 @@
                 continue;
             }
             const bool arriving = here->has_header || !here->input.empty();
-            const core::milliseconds allowed =
-                arriving ? this->limits.request_time : this->limits.idle;
+            const core::milliseconds allowed = here->lingering ? linger_time
+                                               : arriving      ? this->limits.request_time
+                                                               : this->limits.idle;
             if (now - here->since < allowed && !(this->draining && !arriving))
             {
                 continue;
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 #include <fstream>
 #include <sstream>
+#include <unistd.h>
 
 /// Sessions of real entries and agents between stand-ins for the platform's store and workers.
 namespace
@@ -296,7 +297,8 @@
     const std::string program = testing::daemon_path();
     ::setenv("CHICORYLIFT_LEESE", "3", 1);
     testing::process wrong({program, "batch", "--role", "agent"},
-                           "/tmp/chicorylift-wrong-variable.log");
+                           "/tmp/chicorylift-wrong-variable-" + std::to_string(::getpid()) +
+                               ".log");
     CHECK(batch_site::wait_for(
         [&] { return wrong.output().find("CHICORYLIFT_LEESE") != std::string::npos; }));
     ::unsetenv("CHICORYLIFT_LEESE");
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -38,6 +38,8 @@
     std::string unit;
     std::uint64_t run{};
     std::string how;
+    /// The unit must not run again, unless this end is lost before it was noted.
+    bool binding = true;
 };
 
 struct worker
@@ -124,6 +126,18 @@
         {
             const std::lock_guard lock(this->guard);
             worker& one = this->workers.at(id);
+            if (now_ms() > one.lease_until)
+            {
+                // An end that was not noted before the lease lapsed does not bind anybody.
+                for (end& each : one.ends)
+                {
+                    if (each.binding)
+                    {
+                        this->seen.done.erase(each.unit);
+                        each.binding = false;
+                    }
+                }
+            }
             while (!one.runs.empty() && now_ms() > one.lease_until)
             {
                 this->finish(one, one.runs.begin()->first, "lapsed");
@@ -409,7 +423,7 @@
         one.runs.erase(unit);
         std::uint64_t& barred = one.barred[unit];
         barred = std::max(barred, ended.number);
-        one.ends.push_back({one.next_end++, unit, ended.number, how});
+        one.ends.push_back({one.next_end++, unit, ended.number, how, true});
         if (how == "done")
         {
             ++this->seen.done[unit];
@@ -487,7 +501,10 @@
             for (const end& each : one.ends)
             {
                 // An end that nobody noted is lost with this life, and its unit runs again.
-                self->seen.done.erase(each.unit);
+                if (each.binding)
+                {
+                    self->seen.done.erase(each.unit);
+                }
             }
             one.runs.clear();
             one.barred.clear();
