--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -159,6 +159,10 @@
     std::string_view event;
     core::job_id job;
     std::string detail;
+    /// Set when units were placed: whose they are and how long they waited.
+    std::optional<core::milliseconds> waited;
+    core::organisation_id organisation;
+    queue_id queue;
 };
 
 /// What the placing of work weighs; the users' two weightings differ here.
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -68,25 +68,27 @@
     void respect_holds(const work_group& group, std::vector<worker_room>& rooms,
                        core::instant now) const;
     /// @return room of a worker that runs will still take at @p until.
-    amount taken_beyond(const agent_id& agent, core::instant until, core::instant now) const;
-    core::instant expected_end(const run_state& run, core::instant now) const;
+    [[nodiscard]] amount taken_beyond(const agent_id& agent, core::instant until,
+                                      core::instant now) const;
+    [[nodiscard]] core::instant expected_end(const run_state& run, core::instant now) const;
     void begin_run(const work_group& group, const std::vector<unit_placement>& placements,
                    core::instant now);
     void issue_orders(std::vector<order>& orders, core::instant now, bool start_unwritten);
-    std::vector<worker_room> rooms_for(const work_group& group,
-                                       const std::map<agent_id, amount>& available,
-                                       core::instant now) const;
-    std::vector<victim> victims_for(const work_group& group, core::instant now) const;
+    [[nodiscard]] std::vector<worker_room> rooms_for(const work_group& group,
+                                                     const std::map<agent_id, amount>& available,
+                                                     core::instant now) const;
+    [[nodiscard]] std::vector<victim> victims_for(const work_group& group, core::instant now) const;
     /// @return core-seconds of work that stopping the run would lose.
-    double loss_of(const run_state& run, const step_spec& step, core::instant now) const;
-    std::map<agent_id, amount> free_room() const;
-    bool may_place_on(const worker_state& worker, const job_state& job, const step_spec& step,
-                      core::instant now) const;
-    placing_rules rules_for(const work_group& group, core::instant now) const;
-    bool fits_one_rack(const work_group& group) const;
-    bool is_guaranteed(const job_state& job) const;
+    [[nodiscard]] double loss_of(const run_state& run, const step_spec& step,
+                                 core::instant now) const;
+    [[nodiscard]] std::map<agent_id, amount> free_room() const;
+    [[nodiscard]] bool may_place_on(const worker_state& worker, const job_state& job,
+                                    const step_spec& step, core::instant now) const;
+    [[nodiscard]] placing_rules rules_for(const work_group& group, core::instant now) const;
+    [[nodiscard]] bool fits_one_rack(const work_group& group) const;
+    [[nodiscard]] bool is_guaranteed(const job_state& job) const;
 
-    const step_spec& spec_of(const work_group& group) const;
+    [[nodiscard]] const step_spec& spec_of(const work_group& group) const;
     void record(std::string_view event, const core::job_id& job, std::string detail);
 
     scheduler_settings settings;
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -173,8 +173,10 @@
         {
             continue;
         }
-        for (auto& [occurrence, steps] : job.occurrences)
+        for (auto& [occurrence, open_steps] : job.occurrences)
         {
+            // A lambda cannot take in a structured binding.
+            std::vector<step_state>& steps = open_steps;
             for (std::size_t number = 0; number < steps.size(); ++number)
             {
                 step_state& state = steps[number];
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -447,6 +447,10 @@
             std::to_string(this->spec_of(group).estimate.count()) + " ms" +
             (this->spec_of(group).checkpointing ? ", saves its state" : "") + "; priority " +
             std::to_string(group.job->terms.priority) + (group.guaranteed ? ", guaranteed" : ""));
+    decision_record& placed = this->records.back();
+    placed.waited = now - group.waiting_since;
+    placed.organisation = group.job->spec.organisation;
+    placed.queue = group.job->terms.queue;
     this->runs.emplace(number, std::move(run));
 }
 
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -33,7 +33,7 @@
 void site_scheduler::implementation::record(std::string_view event, const core::job_id& job,
                                             std::string detail)
 {
-    this->records.push_back({event, job, std::move(detail)});
+    this->records.push_back({event, job, std::move(detail), {}, {}, {}});
 }
 
 void site_scheduler::implementation::end_member(run_state& run, member_state& member, end_kind kind,
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,11 +1,13 @@
 #include "chicorylift/core/error.hpp"
 #include "ctl/commands.hpp"
+#include "ctl/trace.hpp"
 
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <iostream>
 #include <iterator>
 #include <string>
+#include <string_view>
 
 namespace
 {
@@ -27,6 +29,11 @@
 
 int main(int argument_count, char** arguments)
 {
+    // Reads logs only, and so needs neither an entry nor a token.
+    if (argument_count > 1 && std::string_view(arguments[1]) == "trace")
+    {
+        return ctl::run_trace(argument_count - 1, arguments + 1);
+    }
     constexpr int usage_error = 2;
     ctl::connection to;
     ctl::command wanted;
@@ -35,7 +42,8 @@
     bool idempotent = false;
     std::string key;
     std::string timeout;
-    CLI::App app("chicoryctl: operates chicorylift through one of its entries");
+    CLI::App app("chicoryctl: operates chicorylift through one of its entries; "
+                 "\"chicoryctl trace ID FILE...\" reads logs");
     app.set_version_flag("--version", "chicorylift 0.1.0");
     app.require_subcommand(1);
     app.fallthrough();
--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -206,6 +206,15 @@
         events::write(lost ? "store_lost" : "store_regained",
                       {{"config_age_ms", this->config_age().count()}});
     }
+    const bool stale = this->config.has_value() && this->config_age() > this->allowed_age();
+    if (stale != this->config_stale)
+    {
+        this->config_stale = stale;
+        events::write(stale ? "config_stale" : "config_fresh",
+                      {{"config_age_ms", this->config_age().count()},
+                       {"allowed_ms", this->allowed_age().count()},
+                       {"version", this->config.has_value() ? this->config->version : 0}});
+    }
     this->check_ready();
     this->loop.after(tick_interval, [this] { this->tick(); });
 }
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -77,6 +77,7 @@
     bool draining = false;
     bool was_ready = false;
     bool store_lost = false;
+    bool config_stale = false;
     core::instant drain_limit{};
     core::instant last_commit_failure{};
     core::instant last_commit_success{};
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -424,6 +424,11 @@
                                      {"epoch", this->my_epoch},
                                      {"config_version", this->config->version}});
         this->around.figures.count("decisions", record.event);
+        if (record.waited.has_value())
+        {
+            this->around.figures.observe("wait_for_worker", record.organisation.str(),
+                                         record.queue.str(), *record.waited);
+        }
     }
 }
 
--- /dev/null
+++ b/tests/logs_test.cpp
@@ -0,0 +1,73 @@
+#include "ctl/trace.hpp"
+#include "support/events.hpp"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+/// Log lines, their closed list, and the story that the tool makes of them.
+namespace
+{
+
+using namespace chicorylift;
+namespace events = support::events;
+
+TEST_CASE("a line is one JSON object, whatever its values hold")
+{
+    CHECK(events::to_line("t", "p", "i", "job_accepted",
+                          {{"job", "a\"b\\c\n"}, {"tries", std::int64_t{2}}}) ==
+          "{\"time\":\"t\",\"process\":\"p\",\"incarnation\":\"i\",\"event\":\"job_accepted\","
+          "\"job\":\"a\\\"b\\\\c\\u000a\",\"tries\":2}");
+}
+
+TEST_CASE("every kind of line is on the page for the engineers on call")
+{
+    std::ifstream page(std::string(CHICORYLIFT_DOCS) + "/OPERATIONS.md");
+    const std::string text{std::istreambuf_iterator<char>(page), {}};
+    for (const events::event_kind& kind : events::known_kinds())
+    {
+        CAPTURE(std::string(kind.name));
+        CHECK(text.find("`" + std::string(kind.name) + "`") != std::string::npos);
+        CHECK(kind.lines_a_second > 0);
+    }
+}
+
+TEST_CASE("a trace puts the lines of several processes in order, with beliefs between them")
+{
+    std::istringstream entry(
+        R"({"time":"10:00:03","process":"entry","event":"job_shown","job":"j1","state":2})"
+        "\n"
+        R"(  1.5 entry {"time":"10:00:01","process":"entry","event":"job_accepted","job":"j1"})"
+        "\n"
+        R"({"time":"10:00:01","process":"entry","event":"job_accepted","job":"j2"})"
+        "\nnot a log line\n");
+    std::istringstream agent(
+        R"({"time":"10:00:02","process":"agent","event":"run_started","unit":"j1.0.0.0"})"
+        "\n"
+        R"({"time":"10:00:00","process":"agent","event":"lead_taken","epoch":1})"
+        "\n"
+        R"({"time":"10:00:02","process":"agent","event":"store_lost","at":"lead"})"
+        "\n");
+    ctl::trace story("j1");
+    story.read(entry);
+    story.read(agent);
+    std::ostringstream out;
+    CHECK(story.print(out) == 3);
+    CHECK(out.str() == "10:00:01  entry  job_accepted  \"job\":\"j1\"\n"
+                       "10:00:02  agent  run_started  \"unit\":\"j1.0.0.0\"\n"
+                       "10:00:02  . agent  store_lost  \"at\":\"lead\"\n"
+                       "10:00:03  entry  job_shown  \"job\":\"j1\",\"state\":2\n");
+}
+
+TEST_CASE("a trace of an unknown id says so")
+{
+    ctl::trace story("nobody");
+    std::istringstream log(R"({"time":"t","process":"p","event":"lead_taken","epoch":1})");
+    story.read(log);
+    std::ostringstream out;
+    CHECK(story.print(out) == 0);
+    CHECK(out.str().empty());
+}
+
+} // namespace
