--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -248,6 +248,8 @@
 
     /// @return the present state; cancelled jobs count as open until their units are gone.
     [[nodiscard]] std::optional<job_outcome> outcome_of(const core::job_id& job) const;
+    /// @return jobs that have ended, of which nothing runs and nothing is left to write.
+    [[nodiscard]] std::vector<core::job_id> settled_jobs() const;
     /// @return runs that hold room, over all workers.
     [[nodiscard]] std::size_t open_runs() const noexcept;
     /// @return units that could run now and do not.
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -312,6 +312,20 @@
     return found == this->inner->jobs.end() ? std::nullopt : std::optional(found->second.outcome);
 }
 
+std::vector<core::job_id> site_scheduler::settled_jobs() const
+{
+    std::vector<core::job_id> list;
+    for (const auto& [id, job] : this->inner->jobs)
+    {
+        const bool written = job.cancelled || job.change == job.written;
+        if (!job.is_active() && job.open_runs == 0 && job.unsettled.empty() && written)
+        {
+            list.push_back(id);
+        }
+    }
+    return list;
+}
+
 std::size_t site_scheduler::open_runs() const noexcept
 {
     return this->inner->runs.size();
--- a/src/net/async_http_server.cpp
+++ b/src/net/async_http_server.cpp
@@ -85,7 +85,7 @@
 
 struct connection
 {
-    explicit connection(Poco::Net::StreamSocket accepted) : socket(std::move(accepted)) {}
+    explicit connection(const Poco::Net::StreamSocket& accepted) : socket(accepted) {}
 
     Poco::Net::StreamSocket socket;
     std::string input;
@@ -176,15 +176,16 @@
         }
     }
 
-    void take(Poco::Net::StreamSocket socket)
+    void take(const Poco::Net::StreamSocket& accepted)
     {
         if (this->open.size() >= this->limits.most_connections)
         {
             this->drop_longest_idle();
         }
+        Poco::Net::StreamSocket socket(accepted);
         socket.setBlocking(false);
         socket.setNoDelay(true);
-        this->open.emplace_back(std::move(socket));
+        this->open.emplace_back(socket);
         const handle here = std::prev(this->open.end());
         here->since = this->loop.now();
         const std::weak_ptr<implementation> self = this->shared_from_this();
@@ -385,7 +386,7 @@
         const auto generation = ++this->next_answer;
         this->awaiting[generation] = here;
         this->answer_of[&*here] = generation;
-        const auto respond = [self, generation](server_response response)
+        const auto respond = [self, generation](const server_response& response)
         {
             if (const auto alive = self.lock())
             {
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -37,6 +37,11 @@
 // How long the store is asked before the agents' word is enough.
 constexpr core::milliseconds confirmation_patience{1200};
 constexpr std::size_t most_rows_a_write = 30;
+constexpr core::milliseconds trim_interval = std::chrono::seconds{5};
+// A call for a job may be repeated this long after its end.
+constexpr core::milliseconds keep_margin = std::chrono::seconds{2};
+// An agent that is away for so long is replaced, not restarting.
+constexpr core::milliseconds forget_agent_after = std::chrono::minutes{10};
 
 // Margins of a lease: a worker's clock may be two percent slow, and answers take time.
 constexpr core::milliseconds lease_reserve{900};
@@ -190,6 +195,8 @@
         if (key->kind == job_row_kind::accepted)
         {
             this->scheduler.forget_job(key->job);
+            this->cancel_rows.erase(key->job);
+            this->ended_since.erase(key->job);
         }
         return;
     }
@@ -613,6 +620,7 @@
     if (this->loaded)
     {
         this->pass();
+        this->trim();
     }
     this->last_tick = core::boot_clock::now();
     const std::weak_ptr<bool> still = this->alive;
@@ -626,6 +634,71 @@
                             });
 }
 
+void lead::trim()
+{
+    const core::instant now = core::boot_clock::now();
+    if (now < this->next_trim || this->trim_in_flight || this->store_lost || !this->may_act())
+    {
+        return;
+    }
+    this->next_trim = now + trim_interval;
+    const core::milliseconds keep = core::seconds{this->around.values.keep_ended_s} + keep_margin;
+    ports::transaction changes;
+    changes.conditions.push_back({lead_place(), this->row_version});
+    std::size_t jobs = 0;
+    for (const core::job_id& job : this->scheduler.settled_jobs())
+    {
+        const core::instant since = this->ended_since.try_emplace(job, now).first->second;
+        if (now - since > keep && jobs < most_rows_a_write)
+        {
+            ++jobs;
+            changes.removals.push_back(place_of(job, job_row_kind::accepted));
+            changes.removals.push_back(place_of(job, job_row_kind::progress));
+            changes.removals.push_back(place_of(job, job_row_kind::cancel));
+        }
+    }
+    for (auto each = this->agents.begin(); each != this->agents.end();)
+    {
+        const core::instant heard = std::max(each->second.heard, this->began);
+        if (now - heard < forget_agent_after)
+        {
+            ++each;
+            continue;
+        }
+        const batch::agent_id agent(each->first);
+        changes.removals.push_back(member_place(agent));
+        this->guard.remove_agent(agent);
+        ++this->members_version;
+        each = this->agents.erase(each);
+    }
+    if (changes.removals.empty())
+    {
+        return;
+    }
+    this->trim_in_flight = true;
+    const std::weak_ptr<bool> still = this->alive;
+    // The feed tells of the rows that are gone; a lost answer is made up for by the next round.
+    this->around.store.commit(changes, write_patience,
+                              [this, still, jobs](const ports::commit_outcome& outcome)
+                              {
+                                  if (still.expired())
+                                  {
+                                      return;
+                                  }
+                                  this->trim_in_flight = false;
+                                  if (outcome.state == ports::commit_state::applied)
+                                  {
+                                      events::write("jobs_trimmed",
+                                                    {{"jobs", static_cast<std::uint64_t>(jobs)},
+                                                     {"row_version", outcome.version}});
+                                  }
+                                  else if (outcome.state == ports::commit_state::conflict)
+                                  {
+                                      this->take_present_rows(outcome.present);
+                                  }
+                              });
+}
+
 /// Holds still after a pause of the process until it is sure that it still leads.
 void lead::check_suspension()
 {
--- a/src/site/lead.hpp
+++ b/src/site/lead.hpp
@@ -81,6 +81,8 @@
     void on_written(const std::map<core::job_id, std::uint64_t>& changes,
                     const ports::commit_outcome& outcome);
     void take_present_rows(const std::vector<ports::row>& present);
+    /// Removes the rows of jobs that ended long ago, and of agents that are gone for good.
+    void trim();
     void log_records();
     void step_down(const std::string& why);
     [[nodiscard]] bool may_act() const;
@@ -110,6 +112,10 @@
     core::instant woke{};
     core::instant next_lazy_write{};
     core::instant write_failing_since{};
+    core::instant next_trim{};
+    bool trim_in_flight = false;
+    /// When this lead first saw that a job has ended.
+    std::map<core::job_id, core::instant> ended_since;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::unique_ptr<mirrored_table> config_rows;
     std::unique_ptr<mirrored_table> job_rows;
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -22,7 +22,7 @@
 constexpr std::string_view prefix = "CHICORYLIFT_";
 /// Set by whoever starts the process; names the settings file.
 constexpr const char* settings_file_variable = "CHICORYLIFT_BOOT";
-constexpr std::array<std::string_view, 17> variables{
+constexpr std::array<std::string_view, 18> variables{
     "CHICORYLIFT_BOOT",
     "CHICORYLIFT_ROLE",
     "CHICORYLIFT_NAME",
@@ -40,6 +40,7 @@
     "CHICORYLIFT_STOP_GRACE_S",
     "CHICORYLIFT_REMOTE_FACTOR",
     "CHICORYLIFT_MOST_CONNECTIONS",
+    "CHICORYLIFT_KEEP_ENDED_S",
 };
 
 absl::Status invalid(const std::string& setting, const std::string& value,
@@ -128,6 +129,10 @@
                    "factor on run times away from data or gang")
         ->envname("CHICORYLIFT_REMOTE_FACTOR")
         ->capture_default_str();
+    app.add_option("--keep-ended-s", values.keep_ended_s,
+                   "agent: seconds for which ended jobs can still be asked for")
+        ->envname("CHICORYLIFT_KEEP_ENDED_S")
+        ->capture_default_str();
     app.add_option("--most-connections", values.most_connections, "entry: open connections")
         ->envname("CHICORYLIFT_MOST_CONNECTIONS")
         ->capture_default_str();
@@ -168,6 +173,11 @@
     checks.push_back(check_time("longest-lease-ms", values.longest_lease, 3000, hour_ms));
     checks.push_back(check_time("key-revocation-ms", values.key_revocation, 2500, hour_ms));
     checks.push_back(check_time("stop-grace-s", values.stop_grace, 500, hour_ms));
+    if (values.keep_ended_s < 1)
+    {
+        checks.push_back(
+            invalid("keep-ended-s", std::to_string(values.keep_ended_s), "at least 1"));
+    }
     if (values.most_connections == 0)
     {
         checks.push_back(invalid("most-connections", "0", "at least 1"));
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -67,6 +67,7 @@
     event_kind{"start_refused", 100, "a worker refused a start, and why"},
     event_kind{"order_lost", 100, "a worker did not answer an order"},
     event_kind{"progress_written", 50, "changes of jobs are stored"},
+    event_kind{"jobs_trimmed", 10, "rows of jobs that ended long ago are removed"},
     event_kind{"worker_announced", 20, "a worker has announced itself, or changed"},
     event_kind{"worker_left", 20, "a worker says that it has ended"},
     event_kind{"worker_silent", 20, "a worker does not answer its agent"},
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -88,9 +88,10 @@
     {
         FAIL_CHECK(broken);
     }
-    for (const auto& [id, result] : site.results())
+    for (const auto& each : site.results())
     {
-        CAPTURE(id.str());
+        const testing::job_result& result = each.second;
+        CAPTURE(each.first.str());
         CHECK((result.ended.has_value() || result.cancelled));
     }
 }
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -106,6 +106,23 @@
     CHECK(site.call(0, "GET", job_name(1)).body.find("cancelled") != std::string::npos);
 }
 
+TEST_CASE("ended jobs are forgotten after their time, also cancelled ones; open ones stay")
+{
+    batch_site site(1, 2, {"--keep-ended-s", "1"});
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    CHECK(submit(site, 1, job_body("50", 1, 1, false)) == 200);
+    CHECK(submit(site, 2, job_body("60000", 1, 1, false)) == 200);
+    CHECK(submit(site, 3, job_body("60000", 1, 1, false)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    CHECK(site.call(0, "DELETE", job_name(2)).status == 200);
+    CHECK(batch_site::wait_for([&] { return site.call(0, "GET", job_name(1)).status == 410; }));
+    CHECK(batch_site::wait_for([&] { return site.call(0, "GET", job_name(2)).status == 410; }));
+    CHECK(site.wait_for_state(job_name(3), "running"));
+    // What is left: the open job's accepted row and its progress.
+    CHECK(site.store().rows("jobs") == 2);
+}
+
 TEST_CASE("a killed lead is replaced; nothing accepted is lost or done twice")
 {
     batch_site site(1, 4);
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -417,8 +417,10 @@
         return response;
     }
 
-    void finish(worker& one, const std::string unit, const std::string& how)
+    void finish(worker& one, const std::string& named, const std::string& how)
     {
+        // The caller's name may lie in the map that is changed here.
+        const std::string unit(named);
         const run ended = one.runs.at(unit);
         one.runs.erase(unit);
         std::uint64_t& barred = one.barred[unit];
--- a/tests/support/batch_site.cpp
+++ b/tests/support/batch_site.cpp
@@ -15,7 +15,7 @@
 std::string take_variable(const char* name)
 {
     const char* const value = std::getenv(name);
-    const std::string text = value == nullptr ? "" : value;
+    std::string text = value == nullptr ? "" : value;
     ::unsetenv(name);
     return text;
 }
@@ -42,7 +42,9 @@
     return (folder.empty() ? "build" : folder) + "/chicoryliftd";
 }
 
-batch_site::batch_site(int entry_count, int agent_count) : folder(fresh_folder())
+batch_site::batch_site(int entry_count, int agent_count,
+                       const std::vector<std::string>& agent_flags)
+    : folder(fresh_folder())
 {
     const std::string store = free_address();
     this->table = std::make_unique<site_store>(this->loop, store);
@@ -61,12 +63,13 @@
         const worker_place& place = places[static_cast<std::size_t>(index)];
         member one;
         one.metrics = free_address();
-        one.program =
-            process({daemon_path(), "batch",        "--role",    "agent",     "--name",
-                     name,          "--zone",       "z",         "--region",  "r",
-                     "--listen",    free_address(), "--control", place.agent, "--worker",
-                     place.address, "--store",      store,       "--metrics", one.metrics},
-                    this->folder + "/" + name + ".log");
+        std::vector<std::string> command{daemon_path(), "batch",     "--role",    "agent",
+                                         "--name",      name,        "--zone",    "z",
+                                         "--region",    "r",         "--listen",  free_address(),
+                                         "--control",   place.agent, "--worker",  place.address,
+                                         "--store",     store,       "--metrics", one.metrics};
+        command.insert(command.end(), agent_flags.begin(), agent_flags.end());
+        one.program = process(command, this->folder + "/" + name + ".log");
         this->agents.push_back(std::move(one));
     }
     for (int index = 0; index < entry_count; ++index)
--- a/tests/support/batch_site.hpp
+++ b/tests/support/batch_site.hpp
@@ -28,7 +28,8 @@
 class batch_site
 {
 public:
-    batch_site(int entries, int agents);
+    /// @param agent_flags further flags of every agent.
+    batch_site(int entries, int agents, const std::vector<std::string>& agent_flags = {});
     ~batch_site();
     batch_site(const batch_site&) = delete;
     batch_site& operator=(const batch_site&) = delete;
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -321,7 +321,7 @@
 
     // ---- agents ----
 
-    std::size_t index_of(const agent_id& agent) const
+    [[nodiscard]] std::size_t index_of(const agent_id& agent) const
     {
         return at(std::stoll(agent.str().substr(1)));
     }
@@ -645,7 +645,7 @@
         }
     }
 
-    milliseconds far(milliseconds duration) const
+    [[nodiscard]] milliseconds far(milliseconds duration) const
     {
         return milliseconds{static_cast<std::int64_t>(static_cast<double>(duration.count()) *
                                                       this->shape.remote_factor)};
@@ -736,8 +736,10 @@
             }
             return;
         }
-        for (const auto& [index, key] : members)
+        for (const auto& member : members)
         {
+            const std::size_t index = member.first;
+            const std::pair<unit_key, run_number> key = member.second;
             const std::uint64_t token = this->workers[index].runs.at(key).token;
             this->after(this->shape.gang_patience,
                         [this, index, key, token]
@@ -778,7 +780,7 @@
                     });
     }
 
-    milliseconds progress_of(const live_run& run) const
+    [[nodiscard]] milliseconds progress_of(const live_run& run) const
     {
         if (!run.working)
         {
@@ -788,7 +790,7 @@
         return run.needed >= std::chrono::hours{1} ? run.before : run.before + worked;
     }
 
-    std::string saved_of(const live_run& run, bool at_stop) const
+    [[nodiscard]] std::string saved_of(const live_run& run, bool at_stop) const
     {
         const batch::step_spec& step = this->jobs.at(run.unit.job).spec.steps[at(run.unit.step)];
         if (!step.checkpointing)
@@ -825,8 +827,10 @@
                     });
     }
 
-    void end_run(std::size_t index, std::pair<unit_key, run_number> key, end_kind kind)
+    void end_run(std::size_t index, const std::pair<unit_key, run_number>& named, end_kind kind)
     {
+        // The caller's key may lie in the map that is changed here.
+        const std::pair<unit_key, run_number> key(named);
         virtual_worker& worker = this->workers[index];
         const live_run run = worker.runs.at(key);
         known_job& job = this->jobs.at(run.unit.job);
