Bound what a pass costs, so that a lead on a large site hears its agents in time

Log: from 18.2 s on all 57 agents suspect the lead every 3 s, then leases lapse (129); the lead's share of the processor is at its limit, with 700 units waiting. Cause: a pass tried every unit of a wide step that had no room, added up each organisation's needs for each unit, and looked for held room after every single end. Change: one try for a step that has no room; needs added up once a pass; held room found by halving; after a pass the lead rests four times as long as the pass took. Test: 'wide steps that find no room cost one try each' (1,200 tries without the change by construction, at most 48 with it).

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -254,6 +254,8 @@
     [[nodiscard]] std::size_t open_runs() const noexcept;
     /// @return units that could run now and do not.
     [[nodiscard]] std::size_t waiting_units() const noexcept;
+    /// @return how often a place was looked for in the last decide(); its cost goes with that.
+    [[nodiscard]] std::size_t placing_tries() const noexcept;
     /// Takes the decisions since the last call, for the log.
     [[nodiscard]] std::vector<decision_record> take_records();
 
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -336,6 +336,11 @@
     return this->inner->waiting;
 }
 
+std::size_t site_scheduler::placing_tries() const noexcept
+{
+    return this->inner->placing_tries;
+}
+
 std::vector<decision_record> site_scheduler::take_records()
 {
     std::vector<decision_record> taken;
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -86,6 +86,8 @@
                                     const step_spec& step, core::instant now) const;
     [[nodiscard]] placing_rules rules_for(const work_group& group, core::instant now) const;
     [[nodiscard]] bool fits_one_rack(const work_group& group) const;
+    /// Adds up what each organisation's urgent jobs need, once a pass.
+    void sum_urgent_needs();
     [[nodiscard]] bool is_guaranteed(const job_state& job) const;
 
     [[nodiscard]] const step_spec& spec_of(const work_group& group) const;
@@ -100,6 +102,7 @@
     std::map<core::job_id, job_state> jobs;
     std::map<run_number, run_state> runs;
     std::map<agent_id, worker_state> workers;
+    std::map<core::organisation_id, std::int64_t> urgent_needs;
     std::set<core::job_id> unwritten;
     /// Room that is kept for a waiting group on a worker, until when it is expected to start.
     struct hold
@@ -107,9 +110,12 @@
         core::job_id job;
         amount room;
         core::instant until{};
+        /// What others may use beyond that time.
+        amount spare;
     };
     std::map<agent_id, hold> holds;
     std::size_t waiting{};
+    std::size_t placing_tries{};
     std::vector<decision_record> records;
 };
 
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -154,6 +154,7 @@
 {
     std::vector<work_group> groups;
     this->waiting = 0;
+    this->sum_urgent_needs();
     const auto add = [&](job_state& job, std::int64_t occurrence, std::int64_t step,
                          std::vector<std::int64_t> units, core::instant since)
     {
@@ -219,23 +220,24 @@
     return groups;
 }
 
-bool site_scheduler::implementation::is_guaranteed(const job_state& job) const
+void site_scheduler::implementation::sum_urgent_needs()
 {
-    const auto promised = this->guaranteed.find(job.spec.organisation);
-    if (job.terms.priority != 0 || promised == this->guaranteed.end())
+    this->urgent_needs.clear();
+    for (const auto& [id, job] : this->jobs)
     {
-        return false;
-    }
-    std::int64_t wanted = 0;
-    for (const auto& [id, other] : this->jobs)
-    {
-        if (other.is_active() && other.terms.priority == 0 &&
-            other.spec.organisation == job.spec.organisation)
+        if (job.is_active() && job.terms.priority == 0)
         {
-            wanted += other.spec.first_accelerators();
+            this->urgent_needs[job.spec.organisation] += job.spec.first_accelerators();
         }
     }
-    return wanted <= promised->second;
+}
+
+bool site_scheduler::implementation::is_guaranteed(const job_state& job) const
+{
+    const auto promised = this->guaranteed.find(job.spec.organisation);
+    const auto wanted = this->urgent_needs.find(job.spec.organisation);
+    return job.terms.priority == 0 && promised != this->guaranteed.end() &&
+           wanted != this->urgent_needs.end() && wanted->second <= promised->second;
 }
 
 void site_scheduler::implementation::rank(work_group& group, core::instant now) const
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -72,6 +72,10 @@
     std::map<agent_id, std::int64_t> held;
     for (const auto& [number, run] : this->runs)
     {
+        if (step.most_per_worker == 0)
+        {
+            break;
+        }
         if (run.job != group.job->spec.id || run.step != group.step ||
             run.occurrence != group.occurrence)
         {
@@ -148,9 +152,13 @@
 {
     std::map<agent_id, amount> available = this->free_room();
     this->holds.clear();
+    this->placing_tries = 0;
+    const void* full = nullptr;
     for (const work_group& group : groups)
     {
-        if (this->place_group(group, available, now))
+        // Units of one step need the same; where one finds no room, neither do the others.
+        const void* const step = &this->spec_of(group);
+        if (step == full || this->place_group(group, available, now))
         {
             continue;
         }
@@ -158,6 +166,7 @@
         {
             continue;
         }
+        full = step;
         if (group.pressing && this->holds.empty())
         {
             this->hold_for(group, now);
@@ -195,32 +204,49 @@
         ends.emplace_back(this->expected_end(run, now), &run);
     }
     std::sort(ends.begin(), ends.end());
-    std::map<agent_id, amount> later = this->free_room();
     const placing_rules rules = this->rules_for(group, now);
-    for (const auto& [when, run] : ends)
+    const auto placed_after = [&](std::size_t count)
     {
-        for (const member_state& member : run->members)
+        std::map<agent_id, amount> later = this->free_room();
+        for (std::size_t index = 0; index < count; ++index)
         {
-            if (!member.ended)
+            for (const member_state& member : ends[index].second->members)
             {
-                later[member.agent] += run->per_unit;
+                if (!member.ended)
+                {
+                    later[member.agent] += ends[index].second->per_unit;
+                }
             }
         }
-        const auto placed =
-            place_units(step, group.units, this->rooms_for(group, later, now), rules);
-        if (!placed.has_value())
-        {
-            continue;
-        }
-        for (const unit_placement& placement : *placed)
-        {
-            hold& kept = this->holds[placement.agent];
-            kept.job = group.job->spec.id;
-            kept.room += step.room();
-            kept.until = when;
-        }
+        return place_units(step, group.units, this->rooms_for(group, later, now), rules);
+    };
+    if (ends.empty() || !placed_after(ends.size()).has_value())
+    {
         return;
     }
+    // More ends never take room away, so the first that suffice are found by halving.
+    std::size_t low = 0;
+    std::size_t high = ends.size();
+    while (low + 1 < high)
+    {
+        const std::size_t middle = (low + high) / 2;
+        (placed_after(middle).has_value() ? high : low) = middle;
+    }
+    const core::instant when = ends[high - 1].first;
+    const auto placed = placed_after(high);
+    for (const unit_placement& placement : placed.value())
+    {
+        hold& kept = this->holds[placement.agent];
+        kept.job = group.job->spec.id;
+        kept.room += step.room();
+        kept.until = when;
+    }
+    for (auto& [agent, kept] : this->holds)
+    {
+        kept.spare = this->workers.at(agent).info.capacity;
+        kept.spare -= kept.room;
+        kept.spare -= this->taken_beyond(agent, when, now);
+    }
 }
 
 void site_scheduler::implementation::respect_holds(const work_group& group,
@@ -237,9 +263,7 @@
             continue;
         }
         // What is free then besides the held room may still be used.
-        amount spare = this->workers.at(room.agent).info.capacity;
-        spare -= kept->second.room;
-        spare -= this->taken_beyond(room.agent, kept->second.until, now);
+        const amount& spare = kept->second.spare;
         room.free.accelerators = std::min(room.free.accelerators, spare.accelerators);
         room.free.millicores = std::min(room.free.millicores, spare.millicores);
         room.free.memory_mb = std::min(room.free.memory_mb, spare.memory_mb);
@@ -271,6 +295,7 @@
                                                  std::map<agent_id, amount>& available,
                                                  core::instant now)
 {
+    ++this->placing_tries;
     std::vector<worker_room> rooms = this->rooms_for(group, available, now);
     this->respect_holds(group, rooms, now);
     const auto placed =
@@ -283,6 +308,11 @@
     for (const unit_placement& placement : *placed)
     {
         available[placement.agent] -= room;
+        const auto kept = this->holds.find(placement.agent);
+        if (kept != this->holds.end() && now + this->spec_of(group).estimate > kept->second.until)
+        {
+            kept->second.spare -= room;
+        }
     }
     this->begin_run(group, *placed, now);
     return true;
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -17,6 +17,9 @@
 constexpr core::milliseconds tick_interval{200};
 // News within this time is decided on together.
 constexpr core::milliseconds pass_delay{4};
+// After a pass the lead rests from deciding for so many times as long as the pass took.
+constexpr std::int64_t pass_rest = 4;
+constexpr core::milliseconds longest_pass_delay{500};
 constexpr core::milliseconds config_wait{3000};
 // A silent store shows only when a call has waited in vain.
 constexpr core::milliseconds job_wait{1000};
@@ -396,7 +399,11 @@
     }
     this->pass_scheduled = true;
     const std::weak_ptr<bool> still = this->alive;
-    this->around.loop.after(pass_delay,
+    // Passes take at most a fixed share of the processor, so that reports are heard in time.
+    const core::instant now = core::boot_clock::now();
+    const core::milliseconds delay =
+        std::clamp<core::milliseconds>(this->next_pass - now, pass_delay, longest_pass_delay);
+    this->around.loop.after(delay,
                             [this, still]
                             {
                                 if (!still.expired())
@@ -415,11 +422,17 @@
     {
         return;
     }
+    const auto began_pass = std::chrono::steady_clock::now();
     const bool unwritten = this->store_lost && this->guard.may_start_unwritten();
     const std::vector<batch::order> orders = this->scheduler.decide(now, unix_now(), unwritten);
     this->log_records();
     this->send_orders(orders);
     this->write_progress();
+    const auto took = std::chrono::duration_cast<core::milliseconds>(
+        std::chrono::steady_clock::now() - began_pass);
+    this->next_pass = core::boot_clock::now() + took * pass_rest;
+    this->around.figures.observe("pass", "site", "all", took);
+    this->around.figures.count("placing", "tries", this->scheduler.placing_tries());
 }
 
 void lead::log_records()
--- a/src/site/lead.hpp
+++ b/src/site/lead.hpp
@@ -112,6 +112,7 @@
     core::instant woke{};
     core::instant next_lazy_write{};
     core::instant write_failing_since{};
+    core::instant next_pass{};
     core::instant next_trim{};
     bool trim_in_flight = false;
     /// When this lead first saw that a job has ended.
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -222,6 +222,41 @@
     CHECK(second >= first + milliseconds{2000});
 }
 
+TEST_CASE("wide steps that find no room cost one try each, not one a unit")
+{
+    constexpr int jobs = 40;
+    constexpr int units = 30;
+    scheduler_settings settings;
+    site_scheduler scheduler(settings, at(milliseconds{0}));
+    worker_report report;
+    report.agent = agent_id("w");
+    report.worker.announced = true;
+    report.worker.born = milliseconds{1};
+    report.worker.service = core::service_id("s");
+    report.worker.capacity = {32000, 131072, 8};
+    report.lists_valid = true;
+    scheduler.on_report(report, at(milliseconds{10}));
+    scheduler.on_renewal_sent(report.agent, at(milliseconds{10}));
+    for (int number = 0; number < jobs; ++number)
+    {
+        job_spec job;
+        job.id = core::job_id("j" + std::to_string(number));
+        job.terms.queue = queue_id("q");
+        job.terms.service = core::service_id("s");
+        job.terms.priority = 1;
+        step_spec step;
+        step.units = units;
+        step.per_unit = {1000, 1000, 1};
+        step.estimate = milliseconds{5000};
+        job.steps.push_back(step);
+        scheduler.add_job(job, {}, false, at(milliseconds{11}));
+    }
+    static_cast<void>(scheduler.decide(at(milliseconds{20}), milliseconds{0}, false));
+    // Eight units have room; after that each job is tried once.
+    CHECK(scheduler.waiting_units() == jobs * units);
+    CHECK(scheduler.placing_tries() <= 8 + jobs);
+}
+
 TEST_CASE("a new lead places nothing before it has heard whether work was started unwritten")
 {
     const milliseconds lapse{5500};
