--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -10,34 +10,19 @@
 namespace
 {
 
-std::size_t at(std::int64_t index)
-{
-    return static_cast<std::size_t>(index);
-}
-
 bool has_step(const job_state& job, std::int64_t occurrence, std::int64_t step)
 {
     return occurrence >= 0 && occurrence < job.spec.rounds() && step >= 0 &&
            at(step) < job.spec.steps.size();
 }
 
-std::vector<step_state>& open_occurrence(job_state& job, std::int64_t occurrence)
-{
-    const auto [found, fresh] = job.occurrences.try_emplace(occurrence);
-    for (std::size_t step = 0; fresh && step < job.spec.steps.size(); ++step)
-    {
-        found->second.emplace_back().units.resize(at(job.spec.steps[step].units));
-    }
-    return found->second;
-}
-
 void restore_done(job_state& job, const done_units& done)
 {
     if (!has_step(job, done.occurrence, done.step))
     {
         return;
     }
-    step_state& step = open_occurrence(job, done.occurrence)[at(done.step)];
+    step_state& step = occurrence_of(job, done.occurrence)[at(done.step)];
     const auto mark = [&step](std::size_t index)
     {
         if (index < step.units.size() && !step.units[index].done)
@@ -61,9 +46,8 @@
     if (has_step(job, failed.occurrence, failed.step) && failed.unit >= 0 &&
         failed.unit < job.spec.steps[at(failed.step)].units)
     {
-        open_occurrence(job, failed.occurrence)[at(failed.step)]
-            .units[at(failed.unit)]
-            .failed.insert(failed.run);
+        occurrence_of(job, failed.occurrence)[at(failed.step)].units[at(failed.unit)].failed.insert(
+            failed.run);
     }
 }
 
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -18,11 +18,6 @@
 constexpr core::milliseconds gang_patience{2000};
 constexpr double milliseconds_a_second = 1000.0;
 
-std::size_t at(std::int64_t index)
-{
-    return static_cast<std::size_t>(index);
-}
-
 } // namespace
 
 std::vector<order> site_scheduler::implementation::decide(core::instant now, unix_time today,
@@ -118,14 +113,6 @@
 
 void site_scheduler::implementation::open_due_occurrences(job_state& job, unix_time today)
 {
-    const auto open = [&job](std::int64_t occurrence)
-    {
-        std::vector<step_state>& steps = job.occurrences[occurrence];
-        for (const step_spec& step : job.spec.steps)
-        {
-            steps.emplace_back().units.resize(at(step.units));
-        }
-    };
     for (std::int64_t occurrence = 0; occurrence < job.spec.rounds(); ++occurrence)
     {
         if (job.occurrences.contains(occurrence))
@@ -140,7 +127,7 @@
                 return;
             }
         }
-        open(occurrence);
+        occurrence_of(job, occurrence);
     }
 }
 
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -19,11 +19,6 @@
 constexpr core::milliseconds restore_time{600};
 constexpr double milliseconds_a_second = 1000.0;
 
-std::size_t at(std::int64_t index)
-{
-    return static_cast<std::size_t>(index);
-}
-
 } // namespace
 
 std::map<agent_id, amount> site_scheduler::implementation::free_room() const
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -12,11 +12,6 @@
 // A confirmed run that the worker's lists no longer show is barred after this long.
 constexpr core::milliseconds missing_patience{2500};
 
-std::size_t at(std::int64_t index)
-{
-    return static_cast<std::size_t>(index);
-}
-
 member_state* find_member(run_state& run, const unit_key& unit, const agent_id& agent)
 {
     if (run.job != unit.job || run.occurrence != unit.occurrence || run.step != unit.step)
@@ -33,27 +28,6 @@
     return nullptr;
 }
 
-bool has_unit(const job_state& job, const unit_key& unit)
-{
-    return unit.occurrence >= 0 && unit.occurrence < job.spec.rounds() && unit.step >= 0 &&
-           at(unit.step) < job.spec.steps.size() && unit.index >= 0 &&
-           unit.index < job.spec.steps[at(unit.step)].units;
-}
-
-/// Creates the state of an occurrence that an earlier lead began.
-void open_occurrence(job_state& job, std::int64_t occurrence)
-{
-    if (job.occurrences.contains(occurrence))
-    {
-        return;
-    }
-    std::vector<step_state>& steps = job.occurrences[occurrence];
-    for (const step_spec& step : job.spec.steps)
-    {
-        steps.emplace_back().units.resize(at(step.units));
-    }
-}
-
 } // namespace
 
 void site_scheduler::implementation::on_report(const worker_report& report, core::instant now)
@@ -136,7 +110,7 @@
         return;
     }
     job_state& job = known->second;
-    open_occurrence(job, end.unit.occurrence);
+    occurrence_of(job, end.unit.occurrence);
     const auto run = this->runs.find(end.run);
     member_state* const member =
         run == this->runs.end() ? nullptr : find_member(run->second, end.unit, worker.agent);
@@ -270,8 +244,7 @@
         return;
     }
     job_state& job = known->second;
-    open_occurrence(job, run.occurrence);
-    step_state& step = job.occurrences[run.occurrence][at(run.step)];
+    step_state& step = occurrence_of(job, run.occurrence)[at(run.step)];
     unit_state& unit = step.units[at(member.index)];
     const bool taken = unit.done || (unit.run != 0 && unit.run != run.number) ||
                        unit.given_up.contains(run.number);
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -16,11 +16,6 @@
 constexpr std::int64_t suspicious_failures = 2;
 constexpr core::milliseconds longest_distrust{16000};
 
-std::size_t at(std::int64_t index)
-{
-    return static_cast<std::size_t>(index);
-}
-
 } // namespace
 
 std::string_view to_text(end_kind kind) noexcept
--- /dev/null
+++ b/src/batch/site_state.cpp
@@ -0,0 +1,23 @@
+#include "batch/site_state.hpp"
+
+namespace chicorylift::batch
+{
+
+std::vector<step_state>& occurrence_of(job_state& job, std::int64_t occurrence)
+{
+    const auto [found, fresh] = job.occurrences.try_emplace(occurrence);
+    for (std::size_t step = 0; fresh && step < job.spec.steps.size(); ++step)
+    {
+        found->second.emplace_back().units.resize(at(job.spec.steps[step].units));
+    }
+    return found->second;
+}
+
+bool has_unit(const job_state& job, const unit_key& unit)
+{
+    return unit.occurrence >= 0 && unit.occurrence < job.spec.rounds() && unit.step >= 0 &&
+           at(unit.step) < job.spec.steps.size() && unit.index >= 0 &&
+           unit.index < job.spec.steps[at(unit.step)].units;
+}
+
+} // namespace chicorylift::batch
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -83,6 +83,18 @@
     core::instant progressed{};
 };
 
+/// @return the steps of one occurrence, which is begun when it is not there yet.
+std::vector<step_state>& occurrence_of(job_state& job, std::int64_t occurrence);
+
+/// @return whether the job has such a unit.
+[[nodiscard]] bool has_unit(const job_state& job, const unit_key& unit);
+
+/// @return a number that is known not to be negative, as an index.
+[[nodiscard]] inline std::size_t at(std::int64_t index) noexcept
+{
+    return static_cast<std::size_t>(index);
+}
+
 /// One start of a unit alone or of a whole gang.
 struct run_state
 {
--- a/src/net/async_http_client.cpp
+++ b/src/net/async_http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/async_http_client.hpp"
 
 #include "chicorylift/core/error.hpp"
+#include "net/send_some.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -209,16 +210,7 @@
     {
         try
         {
-            while (!here->output.empty())
-            {
-                const int sent = here->socket.sendBytes(here->output.data(),
-                                                        static_cast<int>(here->output.size()));
-                if (sent <= 0)
-                {
-                    break;
-                }
-                here->output.erase(0, static_cast<std::size_t>(sent));
-            }
+            send_some(here->socket, here->output);
         }
         catch (const Poco::Exception& fault)
         {
--- a/src/net/async_http_server.cpp
+++ b/src/net/async_http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/async_http_server.hpp"
 
+#include "net/send_some.hpp"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -459,16 +461,7 @@
     {
         try
         {
-            while (!here->output.empty())
-            {
-                const int sent = here->socket.sendBytes(here->output.data(),
-                                                        static_cast<int>(here->output.size()));
-                if (sent <= 0)
-                {
-                    break;
-                }
-                here->output.erase(0, static_cast<std::size_t>(sent));
-            }
+            send_some(here->socket, here->output);
         }
         catch (const Poco::Exception&)
         {
--- /dev/null
+++ b/src/site/config_row.cpp
@@ -0,0 +1,40 @@
+#include "site/config_row.hpp"
+
+#include "platform/front_dialect.hpp"
+#include "support/events.hpp"
+
+namespace chicorylift::site
+{
+
+namespace events = support::events;
+
+bool take_config_row(const ports::row& row, std::string_view reader,
+                     std::optional<batch::site_config>& config)
+{
+    if (row.place.key != platform::config_key || row.removed)
+    {
+        return false;
+    }
+    auto read = platform::read_config(row.value);
+    if (!read.ok())
+    {
+        events::write("config_rejected", {{"at", reader},
+                                          {"row_version", row.version},
+                                          {"reason", std::string(read.status().message())}});
+        return false;
+    }
+    if (config.has_value() && read->version < config->version)
+    {
+        return false;
+    }
+    config = std::move(*read);
+    events::write("config_in_force",
+                  {{"at", reader},
+                   {"version", config->version},
+                   {"row_version", row.version},
+                   {"routes", static_cast<std::uint64_t>(config->routes.size())},
+                   {"keys", static_cast<std::uint64_t>(config->organisation_by_key.size())}});
+    return true;
+}
+
+} // namespace chicorylift::site
--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -2,8 +2,10 @@
 
 #include "chicorylift/core/error.hpp"
 #include "platform/table_adapter.hpp"
+#include "site/config_row.hpp"
 #include "site/rows.hpp"
 #include "support/events.hpp"
+#include "support/unix_clock.hpp"
 
 #include <algorithm>
 
@@ -34,12 +36,6 @@
 constexpr core::milliseconds balancer_notice{2300};
 constexpr core::milliseconds last_answers{400};
 
-batch::unix_time unix_now()
-{
-    return std::chrono::duration_cast<core::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-}
-
 std::string_view to_text(batch::call_refusal refusal)
 {
     constexpr std::array<std::string_view, 7> names{
@@ -160,22 +156,10 @@
 
 void entry::on_config_row(const ports::row& row)
 {
-    if (row.place.key != platform::config_key || row.removed)
-    {
-        return;
-    }
-    auto read = platform::read_config(row.value);
-    if (!read.ok())
-    {
-        events::write("config_rejected", {{"row_version", row.version},
-                                          {"reason", std::string(read.status().message())}});
-        return;
-    }
-    if (this->config.has_value() && read->version < this->config->version)
+    if (!take_config_row(row, "entry", this->config))
     {
         return;
     }
-    this->config = std::move(*read);
     net::async_server_limits limits;
     limits.most_connections = this->values.most_connections;
     limits.largest_header = this->config->limits.header_bytes;
@@ -183,10 +167,6 @@
     limits.request_time = this->config->limits.header_time;
     limits.idle = this->config->limits.idle_time;
     this->front->set_limits(limits);
-    events::write("config_in_force",
-                  {{"version", this->config->version},
-                   {"routes", static_cast<std::uint64_t>(this->config->routes.size())},
-                   {"keys", static_cast<std::uint64_t>(this->config->organisation_by_key.size())}});
     this->figures.count("config_versions", "applied");
 }
 
@@ -312,7 +292,7 @@
     open->job.id = call.job;
     open->job.organisation = call.organisation;
     open->job.terms = call.route.terms;
-    open->job.accepted = unix_now();
+    open->job.accepted = support::unix_now();
     open->call = call;
     open->key = key;
     open->respond = respond;
@@ -517,7 +497,7 @@
             }
             wire::batch_cancel row;
             row.set_entry(this->values.name);
-            row.set_cancelled_ms(unix_now().count());
+            row.set_cancelled_ms(support::unix_now().count());
             open->changes.conditions.push_back(
                 {place_of(open->job, job_row_kind::accepted), (*job)->accepted_version});
             open->changes.writes.push_back(
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -1,8 +1,10 @@
 #include "site/lead.hpp"
 
 #include "platform/front_dialect.hpp"
+#include "site/config_row.hpp"
 #include "site/rows.hpp"
 #include "support/events.hpp"
+#include "support/unix_clock.hpp"
 
 #include <algorithm>
 
@@ -25,8 +27,6 @@
 constexpr core::milliseconds job_wait{1000};
 constexpr core::milliseconds lead_wait{1500};
 constexpr core::milliseconds member_wait{8000};
-// Ends that finish no job are written together.
-constexpr core::milliseconds lazy_write_interval{200};
 constexpr core::milliseconds write_patience{800};
 // The store counts as lost for placing after this long.
 constexpr core::milliseconds store_lost_after{500};
@@ -39,12 +39,6 @@
 constexpr core::milliseconds old_news{300};
 // How long the store is asked before the agents' word is enough.
 constexpr core::milliseconds confirmation_patience{1200};
-constexpr std::size_t most_rows_a_write = 30;
-constexpr core::milliseconds trim_interval = std::chrono::seconds{5};
-// A call for a job may be repeated this long after its end.
-constexpr core::milliseconds keep_margin = std::chrono::seconds{2};
-// An agent that is away for so long is replaced, not restarting.
-constexpr core::milliseconds forget_agent_after = std::chrono::minutes{10};
 
 // Margins of a lease: a worker's clock may be two percent slow, and answers take time.
 constexpr core::milliseconds lease_reserve{900};
@@ -53,12 +47,6 @@
 constexpr std::int64_t clock_error_percent = 2;
 constexpr std::int64_t percent = 100;
 
-batch::unix_time unix_now()
-{
-    return std::chrono::duration_cast<core::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-}
-
 batch::scheduler_settings scheduler_settings_from(const settings& values, std::uint64_t epoch)
 {
     batch::scheduler_settings result;
@@ -118,55 +106,6 @@
 
 lead::~lead() = default;
 
-void lead::on_member_row(const ports::row& row)
-{
-    wire::batch_member member;
-    if (row.removed || !member.ParseFromString(row.value) || member.agent().empty())
-    {
-        return;
-    }
-    agent_state& state = this->agents[member.agent()];
-    if (state.address != member.address())
-    {
-        state.address = member.address();
-        ++this->members_version;
-    }
-    this->scheduler.add_agent(batch::agent_id(member.agent()));
-    this->guard.add_agent(batch::agent_id(member.agent()));
-}
-
-void lead::on_config_row(const ports::row& row)
-{
-    if (row.place.key != platform::config_key || row.removed)
-    {
-        return;
-    }
-    auto read = platform::read_config(row.value);
-    if (!read.ok())
-    {
-        events::write("config_rejected", {{"row_version", row.version},
-                                          {"reason", std::string(read.status().message())}});
-        return;
-    }
-    if (this->config.has_value() && read->version < this->config->version)
-    {
-        return;
-    }
-    this->config = std::move(*read);
-    events::write("config_in_force", {{"version", this->config->version}, {"at", "lead"}});
-    this->scheduler.set_terms(this->config->queues(), this->config->guaranteed_accelerators);
-    this->schedule_pass();
-}
-
-void lead::on_lead_row(const ports::row& row)
-{
-    wire::batch_lead_row current;
-    if (!row.removed && current.ParseFromString(row.value))
-    {
-        this->on_other_epoch(current.epoch());
-    }
-}
-
 void lead::on_other_epoch(std::uint64_t epoch)
 {
     if (epoch > this->my_epoch)
@@ -186,102 +125,6 @@
     this->around.loop.post([superseded = this->around.superseded, why] { superseded(why); });
 }
 
-void lead::on_job_row(const ports::row& row)
-{
-    const auto key = job_row_key_from(row.place.key);
-    if (!key.has_value())
-    {
-        return;
-    }
-    if (row.removed)
-    {
-        if (key->kind == job_row_kind::accepted)
-        {
-            this->scheduler.forget_job(key->job);
-            this->cancel_rows.erase(key->job);
-            this->ended_since.erase(key->job);
-        }
-        return;
-    }
-    if (key->kind == job_row_kind::cancel)
-    {
-        this->cancel_rows[key->job] = true;
-        this->scheduler.cancel_job(key->job);
-        this->schedule_pass();
-    }
-    else if (key->kind == job_row_kind::progress && !this->loaded)
-    {
-        wire::batch_progress progress;
-        if (progress.ParseFromString(row.value))
-        {
-            this->progress_rows[key->job] = progress;
-        }
-    }
-    else if (key->kind == job_row_kind::accepted)
-    {
-        this->take_accepted(row);
-    }
-}
-
-void lead::take_accepted(const ports::row& row)
-{
-    wire::batch_job stored;
-    if (!stored.ParseFromString(row.value))
-    {
-        events::write("unlisted", {{"row", row.place.key}, {"reason", "the row cannot be read"}});
-        return;
-    }
-    const core::job_id id(stored.id());
-    if (!this->loaded)
-    {
-        this->waiting_rows[id] = std::move(stored);
-        return;
-    }
-    this->scheduler.add_job(from_row(stored), {}, this->cancel_rows.contains(id),
-                            this->around.loop.now());
-    events::write("job_known", {{"job", id.str()},
-                                {"queue", stored.terms().queue()},
-                                {"organisation", stored.organisation()},
-                                {"accepted_ms_ago",
-                                 (unix_now() - batch::unix_time{stored.accepted_ms()}).count()},
-                                {"row_version", row.version}});
-    this->schedule_pass();
-}
-
-void lead::load_jobs_if_ready()
-{
-    if (this->loaded || !this->job_rows->is_loaded() || !this->member_rows->is_loaded() ||
-        !this->config.has_value())
-    {
-        return;
-    }
-    this->loaded = true;
-    std::uint64_t open = 0;
-    for (const auto& [id, stored] : this->waiting_rows)
-    {
-        batch::job_progress progress;
-        const auto written = this->progress_rows.find(id);
-        if (written != this->progress_rows.end())
-        {
-            progress = from_row(written->second);
-        }
-        const bool cancelled =
-            this->cancel_rows.contains(id) && progress.outcome == batch::job_outcome::open;
-        open += progress.outcome == batch::job_outcome::open && !cancelled ? 1 : 0;
-        this->scheduler.add_job(from_row(stored), progress, cancelled, this->around.loop.now());
-    }
-    events::write("lead_taken", {{"epoch", this->my_epoch},
-                                 {"jobs", static_cast<std::uint64_t>(this->waiting_rows.size())},
-                                 {"open_jobs", open},
-                                 {"agents", static_cast<std::uint64_t>(this->agents.size())},
-                                 {"took_ms", (core::boot_clock::now() - this->began).count()}});
-    this->waiting_rows.clear();
-    this->progress_rows.clear();
-    this->around.figures.count("lead", "taken");
-    this->call_silent_agents(core::boot_clock::now() + silent_after * 2);
-    this->schedule_pass();
-}
-
 void lead::on_report(const wire::envelope& message)
 {
     const wire::batch_report& report = message.unit_report();
@@ -380,11 +223,12 @@
     this->around.send(state.address, std::move(message));
 }
 
-void lead::call_silent_agents(core::instant now)
+void lead::call_agents(core::milliseconds silent_for)
 {
+    const core::instant now = core::boot_clock::now();
     for (auto& [name, state] : this->agents)
     {
-        if (now - state.heard > silent_after && !state.address.empty())
+        if (now - state.heard >= silent_for && !state.address.empty())
         {
             this->around.send(state.address, this->orders_for(name, state));
         }
@@ -424,7 +268,8 @@
     }
     const auto began_pass = std::chrono::steady_clock::now();
     const bool unwritten = this->store_lost && this->guard.may_start_unwritten();
-    const std::vector<batch::order> orders = this->scheduler.decide(now, unix_now(), unwritten);
+    const std::vector<batch::order> orders =
+        this->scheduler.decide(now, support::unix_now(), unwritten);
     this->log_records();
     this->send_orders(orders);
     this->write_progress();
@@ -490,122 +335,6 @@
     }
 }
 
-void lead::write_progress()
-{
-    const core::instant now = core::boot_clock::now();
-    const std::vector<core::job_id> jobs = this->scheduler.unwritten_jobs();
-    if (this->write_in_flight || jobs.empty())
-    {
-        if (jobs.empty() && !this->store_lost &&
-            now - this->began > lapse_time(this->around.values))
-        {
-            this->guard.announce(false);
-        }
-        return;
-    }
-    if (!this->scheduler.is_write_urgent(jobs.front()) && now < this->next_lazy_write)
-    {
-        return;
-    }
-    this->next_lazy_write = now + lazy_write_interval;
-    ports::transaction changes;
-    changes.conditions.push_back({lead_place(), this->row_version});
-    std::map<core::job_id, std::uint64_t> included;
-    for (const core::job_id& job : jobs)
-    {
-        if (included.size() == most_rows_a_write)
-        {
-            break;
-        }
-        const ports::row_place place = place_of(job, job_row_kind::progress);
-        const batch::job_progress progress = this->scheduler.progress_of(job);
-        // A write whose answer was lost must not take effect after a later one.
-        changes.conditions.push_back({place, this->job_rows->version_of(place.key)});
-        if (progress.outcome != batch::job_outcome::open)
-        {
-            // Callers must not be shown a cancellation that turns into another end.
-            changes.conditions.push_back({place_of(job, job_row_kind::cancel), 0});
-        }
-        changes.writes.push_back({place, to_row(progress).SerializeAsString()});
-        included[job] = this->scheduler.unwritten_change(job);
-    }
-    this->write_in_flight = true;
-    const std::weak_ptr<bool> still = this->alive;
-    this->around.store.commit(changes, write_patience,
-                              [this, still, included](const ports::commit_outcome& outcome)
-                              {
-                                  if (!still.expired())
-                                  {
-                                      this->write_in_flight = false;
-                                      this->on_written(included, outcome);
-                                  }
-                              });
-}
-
-void lead::on_written(const std::map<core::job_id, std::uint64_t>& changes,
-                      const ports::commit_outcome& outcome)
-{
-    const core::instant now = core::boot_clock::now();
-    switch (outcome.state)
-    {
-    case ports::commit_state::applied:
-        this->write_failing_since = {};
-        for (const auto& [job, change] : changes)
-        {
-            this->job_rows->note_written(place_of(job, job_row_kind::progress).key,
-                                         outcome.version);
-            this->scheduler.on_written(job, change);
-        }
-        events::write("progress_written", {{"jobs", static_cast<std::uint64_t>(changes.size())},
-                                           {"row_version", outcome.version},
-                                           {"epoch", this->my_epoch}});
-        break;
-    case ports::commit_state::conflict:
-        this->write_failing_since = {};
-        this->take_present_rows(outcome.present);
-        break;
-    case ports::commit_state::refused:
-    case ports::commit_state::unknown:
-        if (this->write_failing_since == core::instant{})
-        {
-            this->write_failing_since = now;
-        }
-        events::write("order_lost", {{"to", "store"}, {"reason", outcome.message}});
-        break;
-    }
-    this->schedule_pass();
-}
-
-void lead::take_present_rows(const std::vector<ports::row>& present)
-{
-    for (const ports::row& row : present)
-    {
-        if (row.place.table == lead_table)
-        {
-            if (row.version != this->row_version)
-            {
-                this->step_down("the lead's row has version " + std::to_string(row.version));
-            }
-            continue;
-        }
-        const auto key = job_row_key_from(row.place.key);
-        if (!key.has_value() || row.version == 0)
-        {
-            continue;
-        }
-        if (key->kind == job_row_kind::progress)
-        {
-            // An earlier write of this lead whose answer was lost.
-            this->job_rows->note_written(row.place.key, row.version);
-        }
-        else if (key->kind == job_row_kind::cancel)
-        {
-            this->cancel_rows[key->job] = true;
-            this->scheduler.cancel_job(key->job);
-        }
-    }
-}
-
 void lead::tick()
 {
     this->check_suspension();
@@ -624,7 +353,7 @@
         events::write(lost ? "store_lost" : "store_regained",
                       {{"at", "lead"}, {"epoch", this->my_epoch}});
     }
-    this->call_silent_agents(now);
+    this->call_agents(silent_after);
     if (!this->confirmed && now - this->woke > confirmation_patience && this->hears_majority(now))
     {
         // Nobody can have taken over while the store answers nobody and most agents still follow.
@@ -647,71 +376,6 @@
                             });
 }
 
-void lead::trim()
-{
-    const core::instant now = core::boot_clock::now();
-    if (now < this->next_trim || this->trim_in_flight || this->store_lost || !this->may_act())
-    {
-        return;
-    }
-    this->next_trim = now + trim_interval;
-    const core::milliseconds keep = core::seconds{this->around.values.keep_ended_s} + keep_margin;
-    ports::transaction changes;
-    changes.conditions.push_back({lead_place(), this->row_version});
-    std::size_t jobs = 0;
-    for (const core::job_id& job : this->scheduler.settled_jobs())
-    {
-        const core::instant since = this->ended_since.try_emplace(job, now).first->second;
-        if (now - since > keep && jobs < most_rows_a_write)
-        {
-            ++jobs;
-            changes.removals.push_back(place_of(job, job_row_kind::accepted));
-            changes.removals.push_back(place_of(job, job_row_kind::progress));
-            changes.removals.push_back(place_of(job, job_row_kind::cancel));
-        }
-    }
-    for (auto each = this->agents.begin(); each != this->agents.end();)
-    {
-        const core::instant heard = std::max(each->second.heard, this->began);
-        if (now - heard < forget_agent_after)
-        {
-            ++each;
-            continue;
-        }
-        const batch::agent_id agent(each->first);
-        changes.removals.push_back(member_place(agent));
-        this->guard.remove_agent(agent);
-        ++this->members_version;
-        each = this->agents.erase(each);
-    }
-    if (changes.removals.empty())
-    {
-        return;
-    }
-    this->trim_in_flight = true;
-    const std::weak_ptr<bool> still = this->alive;
-    // The feed tells of the rows that are gone; a lost answer is made up for by the next round.
-    this->around.store.commit(changes, write_patience,
-                              [this, still, jobs](const ports::commit_outcome& outcome)
-                              {
-                                  if (still.expired())
-                                  {
-                                      return;
-                                  }
-                                  this->trim_in_flight = false;
-                                  if (outcome.state == ports::commit_state::applied)
-                                  {
-                                      events::write("jobs_trimmed",
-                                                    {{"jobs", static_cast<std::uint64_t>(jobs)},
-                                                     {"row_version", outcome.version}});
-                                  }
-                                  else if (outcome.state == ports::commit_state::conflict)
-                                  {
-                                      this->take_present_rows(outcome.present);
-                                  }
-                              });
-}
-
 /// Holds still after a pause of the process until it is sure that it still leads.
 void lead::check_suspension()
 {
--- a/src/site/lead.hpp
+++ b/src/site/lead.hpp
@@ -75,7 +75,8 @@
     void confirm();
     void send_orders(const std::vector<batch::order>& orders);
     void reply(const std::string& agent, agent_state& state, std::uint64_t sequence);
-    void call_silent_agents(core::instant now);
+    /// Sends orders to the agents that were not heard for that long.
+    void call_agents(core::milliseconds silent_for);
     [[nodiscard]] wire::envelope orders_for(const std::string& agent, agent_state& state);
     void write_progress();
     void on_written(const std::map<core::job_id, std::uint64_t>& changes,
--- /dev/null
+++ b/src/support/unix_clock.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "chicorylift/core/time.hpp"
+
+namespace chicorylift::support
+{
+
+/// @return milliseconds since 1970 by the time of day, which may jump.
+[[nodiscard]] inline core::milliseconds unix_now()
+{
+    return std::chrono::duration_cast<core::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace chicorylift::support
