--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -1,6 +1,7 @@
 #include "site/entry.hpp"
 
 #include "chicorylift/core/error.hpp"
+#include "platform/front_dialect.hpp"
 #include "platform/table_adapter.hpp"
 #include "site/config_row.hpp"
 #include "site/rows.hpp"
@@ -16,7 +17,7 @@
 {
 
 namespace events = support::events;
-using platform::front_answer;
+using ports::front_answer;
 
 constexpr core::milliseconds tick_interval{250};
 // A confirmation every second leaves room for one that is lost before the keys' time is over.
@@ -445,8 +446,8 @@
                 respond(platform::print_answer(front_answer::not_there, "no such job", {}));
                 return;
             }
-            const platform::shown_state state = (*job)->state();
-            if (state >= platform::shown_state::completed)
+            const ports::shown_state state = (*job)->state();
+            if (state >= ports::shown_state::completed)
             {
                 events::write("job_shown", {{"job", call.job.str()},
                                             {"state", static_cast<std::int64_t>(state)}});
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "chicorylift/batch/site_config.hpp"
 #include "net/async_http_server.hpp"
 #include "net/event_loop.hpp"
-#include "platform/front_dialect.hpp"
+#include "ports/front.hpp"
 #include "ports/table_service.hpp"
 #include "site/job_view.hpp"
 #include "site/mirrored_table.hpp"
@@ -47,7 +48,7 @@
     void on_submission(const std::shared_ptr<submission>& open,
                        const ports::commit_outcome& outcome);
     void accept(const submission& open);
-    void refuse(const submission& open, platform::front_answer answer, const std::string& why);
+    void refuse(const submission& open, ports::front_answer answer, const std::string& why);
     void show(const batch::resolved_call& call, const responder& respond);
     void cancel(const net::server_request& request, const batch::resolved_call& call,
                 const responder& respond);
--- a/src/site/job_view.cpp
+++ b/src/site/job_view.cpp
@@ -5,22 +5,22 @@
 namespace chicorylift::site
 {
 
-platform::shown_state seen_job::state() const noexcept
+ports::shown_state seen_job::state() const noexcept
 {
     // A final outcome is written only while there is no cancellation, so that it came first.
     if (this->completed)
     {
-        return platform::shown_state::completed;
+        return ports::shown_state::completed;
     }
     if (this->failed)
     {
-        return platform::shown_state::failed;
+        return ports::shown_state::failed;
     }
     if (this->cancelled)
     {
-        return platform::shown_state::cancelled;
+        return ports::shown_state::cancelled;
     }
-    return this->placed ? platform::shown_state::running : platform::shown_state::queued;
+    return this->placed ? ports::shown_state::running : ports::shown_state::queued;
 }
 
 void job_view::take(const ports::row& row)
@@ -78,7 +78,7 @@
     std::size_t count = 0;
     for (const auto& [id, job] : this->jobs)
     {
-        const bool waits = job.state() == platform::shown_state::queued && !job.timed;
+        const bool waits = job.state() == ports::shown_state::queued && !job.timed;
         count += job.queue == queue && job.accepted_version != 0 && waits ? 1 : 0;
     }
     return count;
--- a/src/site/job_view.hpp
+++ b/src/site/job_view.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "chicorylift/batch/job.hpp"
-#include "platform/front_dialect.hpp"
+#include "ports/front.hpp"
 #include "ports/table_service.hpp"
 
 #include <map>
@@ -24,7 +24,7 @@
     ports::revision accepted_version{};
 
     /// @return the state that callers are shown.
-    [[nodiscard]] platform::shown_state state() const noexcept;
+    [[nodiscard]] ports::shown_state state() const noexcept;
 };
 
 /// An entry's view of all jobs, made from the rows of the job table.
