--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -419,10 +419,10 @@
 
     void finish(worker& one, const std::string& named, const std::string& how)
     {
-        // The caller's name may lie in the map that is changed here.
-        const std::string unit(named);
-        const run ended = one.runs.at(unit);
-        one.runs.erase(unit);
+        // The node keeps the name alive, which may be the caller's reference into the map.
+        const auto node = one.runs.extract(one.runs.find(named));
+        const std::string& unit = node.key();
+        const run& ended = node.mapped();
         std::uint64_t& barred = one.barred[unit];
         barred = std::max(barred, ended.number);
         one.ends.push_back({one.next_end++, unit, ended.number, how, true});
