Write the checkpoints of running work, so that a loss of all power keeps them

The lead kept checkpoints in its memory only; when all machines lose power at once, work that had saved its state began anew, and what it had done was done twice.

Ruled out: reclaims (their victims were stopped with a checkpoint, below 50 core-seconds each), cancellations (before the loss there was one stop).

Change: a job's progress row has the newest checkpoint of each unit that has not ended well (one for a gang). Running work is written once a second, grouped as before; the checkpoint of a stopped run is written before its worker may forget the end. The agents of a job count as written by the change that added them, so that frequent changes do not hold back starts.

Test: "work that saves its state goes on from there when all workers and the lead are lost" failed for single units and for gangs before the change.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -125,12 +125,24 @@
     run_number run{};
 };
 
+/// State that a unit, or any member of a gang, has saved and would resume from.
+struct saved_unit
+{
+    std::int64_t occurrence{};
+    std::int64_t step{};
+    /// The first unit stands for a gang.
+    std::int64_t unit{};
+    std::string checkpoint;
+};
+
 /// What must survive the scheduler's process.
 struct job_progress
 {
     job_outcome outcome = job_outcome::open;
     std::vector<done_units> done;
     std::vector<failed_run> failed;
+    /// Checkpoints of units that have not ended well.
+    std::vector<saved_unit> saved;
     /// Agents whose workers may have run a unit of the job.
     std::set<agent_id> agents;
 };
@@ -191,6 +203,9 @@
     /// Factor on the duration of work away from its rack.
     double remote_factor = 3;
     placing_weights weights;
+    /// Checkpoints of running work are written so often; when all workers lose power at once, work
+    /// goes back by this much more than the workers' own interval.
+    core::milliseconds save_interval = std::chrono::milliseconds{1000};
     /// Longest wait for the rack that holds the data or the gang.
     core::milliseconds rack_patience = std::chrono::milliseconds{2000};
 };
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+// A row holds 64 KB; each checkpoint takes about 30 bytes of it.
+constexpr std::size_t most_saved_units = 1000;
+
 bool has_step(const job_state& job, std::int64_t occurrence, std::int64_t step)
 {
     return occurrence >= 0 && occurrence < job.spec.rounds() && step >= 0 &&
@@ -51,6 +54,35 @@
     }
 }
 
+void restore_saved(job_state& job, const saved_unit& saved)
+{
+    if (has_unit(job, {job.spec.id, saved.occurrence, saved.step, saved.unit}))
+    {
+        occurrence_of(job, saved.occurrence)[at(saved.step)].units[at(saved.unit)].checkpoint =
+            saved.checkpoint;
+    }
+}
+
+void list_saved(const step_state& step, bool gang, saved_unit place, std::vector<saved_unit>& out)
+{
+    for (std::size_t index = 0; !step.is_done() && index < step.units.size(); ++index)
+    {
+        const unit_state& unit = step.units[index];
+        if (unit.done || unit.checkpoint.empty() || out.size() == most_saved_units)
+        {
+            continue;
+        }
+        if (gang && !place.checkpoint.empty())
+        {
+            out.back().checkpoint = std::max(out.back().checkpoint, unit.checkpoint);
+            continue;
+        }
+        place.unit = gang ? 0 : static_cast<std::int64_t>(index);
+        place.checkpoint = unit.checkpoint;
+        out.push_back(place);
+    }
+}
+
 void list_done(const step_state& step, done_units place, std::vector<done_units>& out)
 {
     if (step.done == 0)
@@ -116,6 +148,10 @@
     {
         restore_failed(job, failed);
     }
+    for (const saved_unit& saved : progress.saved)
+    {
+        restore_saved(job, saved);
+    }
     for (const agent_id& agent : progress.agents)
     {
         const auto worker = this->inner->workers.find(agent);
@@ -229,6 +265,8 @@
         {
             const auto step = static_cast<std::int64_t>(number);
             list_done(steps[number], {occurrence, step, {}}, progress.done);
+            list_saved(steps[number], job.spec.steps[number].gang, {occurrence, step, 0, {}},
+                       progress.saved);
             for (std::size_t index = 0; index < steps[number].units.size(); ++index)
             {
                 for (const run_number run : steps[number].units[index].failed)
@@ -263,9 +301,12 @@
     }
     job_state& job = found->second;
     job.written = std::max(job.written, change);
-    if (job.written == job.change)
+    if (job.written >= job.agents_change)
     {
         job.written_agents = job.agents;
+    }
+    if (job.written == job.change)
+    {
         this->inner->unwritten.erase(id);
     }
 }
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -46,10 +46,16 @@
     void stop_run(run_state& run, std::string_view why);
     void stop_job(const core::job_id& job, std::string_view why);
     void check_completed(job_state& job);
-    void touch(job_state& job) { ++job.change; }
+    /// Notes that the job has changed and must be written.
+    void touch(job_state& job);
+    /// Takes in a unit's checkpoint unless a newer one is known.
+    /// @return whether it is newer.
+    static bool take_checkpoint(unit_state& unit, const std::string& checkpoint);
 
     // The pass (scheduling in scheduler_pass.cpp).
     std::vector<order> decide(core::instant now, unix_time today, bool start_unwritten);
+    /// Has the checkpoints that came since the last time written.
+    void save_checkpoints(core::instant now);
     void expire_workers(core::instant now);
     void check_stalled(core::instant now);
     void settle_gangs(core::instant now);
@@ -104,6 +110,7 @@
     std::map<agent_id, worker_state> workers;
     std::map<core::organisation_id, std::int64_t> urgent_needs;
     std::set<core::job_id> unwritten;
+    core::instant next_save{};
     /// Room that is kept for a waiting group on a worker, until when it is expected to start.
     struct hold
     {
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -26,6 +26,7 @@
     this->expire_workers(now);
     this->check_stalled(now);
     this->settle_gangs(now);
+    this->save_checkpoints(now);
     std::vector<run_number> ended;
     for (const auto& [number, run] : this->runs)
     {
@@ -45,6 +46,23 @@
     return orders;
 }
 
+void site_scheduler::implementation::save_checkpoints(core::instant now)
+{
+    if (now < this->next_save)
+    {
+        return;
+    }
+    this->next_save = now + this->settings.save_interval;
+    for (auto& [id, job] : this->jobs)
+    {
+        if (job.unsaved && job.is_active())
+        {
+            this->touch(job);
+        }
+        job.unsaved = false;
+    }
+}
+
 void site_scheduler::implementation::expire_workers(core::instant now)
 {
     for (auto& [id, worker] : this->workers)
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -458,7 +458,7 @@
         if (group.job->agents.insert(placement.agent).second)
         {
             this->touch(*group.job);
-            this->unwritten.insert(run.job);
+            group.job->agents_change = group.job->change;
         }
     }
     ++group.job->open_runs;
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -160,9 +160,9 @@
         this->mark_failed(job, end.unit.occurrence, end.unit.step, gang ? 0 : end.unit.index,
                           end.run, worker.agent);
     }
-    if (unit.run == 0 && end.kind != end_kind::done && !end.checkpoint.empty())
+    if (unit.run == 0 && end.kind != end_kind::done && take_checkpoint(unit, end.checkpoint))
     {
-        unit.checkpoint = std::max(unit.checkpoint, end.checkpoint);
+        this->touch(job);
     }
     if (unit.run == 0 && end.kind == end_kind::done)
     {
@@ -198,6 +198,13 @@
     }
     member->phase = reported.phase;
     member->checkpoint = reported.checkpoint.empty() ? member->checkpoint : reported.checkpoint;
+    const auto job = this->jobs.find(run->second.job);
+    if (job != this->jobs.end() && !member->checkpoint.empty())
+    {
+        unit_state& unit = occurrence_of(job->second, run->second.occurrence)[at(run->second.step)]
+                               .units[at(member->index)];
+        job->second.unsaved = take_checkpoint(unit, member->checkpoint) || job->second.unsaved;
+    }
     if (reported.percent != member->percent || reported.phase != run_phase::running)
     {
         member->percent = reported.percent;
@@ -253,6 +260,7 @@
         this->stop_run(run, "the unit is settled otherwise");
         return;
     }
+    job.unsaved = take_checkpoint(unit, member.checkpoint) || job.unsaved;
     if (!run.gang)
     {
         unit.run = run.number;
@@ -342,7 +350,6 @@
             // A later lead need not wait for it again.
             job.written_agents.erase(worker.agent);
             this->touch(job);
-            this->unwritten.insert(id);
         }
     }
     // Its lists are read anew before it gets work again.
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -31,6 +31,24 @@
     this->records.push_back({event, job, std::move(detail), {}, {}, {}});
 }
 
+void site_scheduler::implementation::touch(job_state& job)
+{
+    ++job.change;
+    this->unwritten.insert(job.spec.id);
+}
+
+bool site_scheduler::implementation::take_checkpoint(unit_state& unit,
+                                                     const std::string& checkpoint)
+{
+    // Checkpoints of one unit grow as texts; a late report must not put work back.
+    if (unit.done || checkpoint <= unit.checkpoint)
+    {
+        return false;
+    }
+    unit.checkpoint = checkpoint;
+    return true;
+}
+
 void site_scheduler::implementation::end_member(run_state& run, member_state& member, end_kind kind,
                                                 const std::string& checkpoint,
                                                 const agent_id& agent, core::instant now)
@@ -45,9 +63,10 @@
     {
         job_state& job = found->second;
         unit_state& unit = job.occurrences[run.occurrence][at(run.step)].units[at(member.index)];
-        if (!member.checkpoint.empty())
+        if (kind != end_kind::done && take_checkpoint(unit, member.checkpoint))
         {
-            unit.checkpoint = member.checkpoint;
+            // The worker may forget the end, and with it the checkpoint, only when it is written.
+            this->touch(job);
         }
         if (kind == end_kind::lapsed)
         {
@@ -103,7 +122,6 @@
     unit.done = true;
     ++state.done;
     this->touch(job);
-    this->unwritten.insert(job.spec.id);
     this->check_completed(job);
 }
 
@@ -118,7 +136,6 @@
         return;
     }
     this->touch(job);
-    this->unwritten.insert(job.spec.id);
     if (job.is_active() && static_cast<std::int64_t>(unit.failed.size()) >= job.terms.attempts)
     {
         job.outcome = job_outcome::failed;
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -58,6 +58,10 @@
     std::set<agent_id> unsettled;
     std::uint64_t change{};
     std::uint64_t written{};
+    /// The change that added an agent last.
+    std::uint64_t agents_change{};
+    /// A checkpoint is newer than the last change that takes it along.
+    bool unsaved = false;
     std::int64_t open_runs{};
 
     [[nodiscard]] bool is_active() const noexcept
--- a/src/site/rows.cpp
+++ b/src/site/rows.cpp
@@ -220,6 +220,14 @@
         each.set_unit(failed.unit);
         each.set_run(failed.run);
     }
+    for (const batch::saved_unit& saved : progress.saved)
+    {
+        wire::batch_saved_unit& each = *row.add_saved();
+        each.set_occurrence(saved.occurrence);
+        each.set_step(saved.step);
+        each.set_unit(saved.unit);
+        each.set_checkpoint(saved.checkpoint);
+    }
     for (const batch::agent_id& agent : progress.agents)
     {
         row.add_agents(agent.str());
@@ -241,6 +249,11 @@
         progress.failed.push_back(
             {failed.occurrence(), failed.step(), failed.unit(), failed.run()});
     }
+    for (const wire::batch_saved_unit& saved : row.saved())
+    {
+        progress.saved.push_back(
+            {saved.occurrence(), saved.step(), saved.unit(), saved.checkpoint()});
+    }
     for (const std::string& agent : row.agents())
     {
         progress.agents.insert(batch::agent_id(agent));
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -307,6 +307,34 @@
     }
 }
 
+TEST_CASE("work that saves its state goes on from there when all workers and the lead are lost")
+{
+    for (const bool gang : {false, true})
+    {
+        CAPTURE(gang);
+        virtual_site site(17);
+        batch::step_spec step = step_of(2, 2, seconds{8});
+        step.checkpointing = true;
+        step.gang = gang;
+        site.submit(milliseconds{2000}, one_step_job("long", "x", queue_with(1), step),
+                    {{seconds{8}}});
+        constexpr int workers = 12;
+        constexpr milliseconds lost_at{8000};
+        for (int worker = 0; worker < workers; ++worker)
+        {
+            site.reboot(lost_at, worker);
+            site.restart_agent(lost_at, worker);
+        }
+        site.replace_lead(lost_at, milliseconds{1500});
+        site.play(seconds{30});
+        check_sound(site);
+        REQUIRE(completed(site) == 1);
+        // 6 s were done; two seconds of work remain, and up to 1.5 s were not written yet.
+        const auto ended = site.results().begin()->second.ended.value();
+        CHECK(ended < core::at(lost_at + milliseconds{1500} + seconds{6}));
+    }
+}
+
 TEST_CASE("starts that are carried out seconds late neither overload nor double")
 {
     for (std::uint32_t seed = 1; seed <= 40; ++seed)
