Keep the lead over an outage of the store; one lost answer is no silent worker

The old lead had started work unwritten, so the new one waited for every agent that it had not heard, among them one that was removed for good 19 s earlier: nothing was placed for 5.5 s, and four urgent jobs were late. Besides, a single lost answer to a look (600 ms wait + 900 ms) reached the 1.5 s after which a worker counts as silent: six workers dropped out while a quarter of the answers were lost.

Ruled out: the store's rates (no 429), processor time (0.004 cores).

Change: a member whose lead lacks the store gives the lead 1 s from the first answer that it gets itself; the lead tells all agents at once when the store is lost or back.

Tests: "a lead whose store was out for all keeps its place ...", "a member that hears no lead does not wait ...", "a worker of whose answers some are lost is not silent ..." (batch_test; without the change they do not compile, the first was tried with a grace of 0 and failed).

--- a/include/chicorylift/batch/election.hpp
+++ b/include/chicorylift/batch/election.hpp
@@ -16,6 +16,11 @@
     core::milliseconds probe_time{250};
     /// Pause between two attempts to take over from a lead that cannot reach the store.
     core::milliseconds without_store_pause{1000};
+    /// A member that reaches the store gives such a lead so long to reach it too: after an outage
+    /// for all, the lead's next call takes up to a write's 0.8 s and its word 0.1 s.
+    core::milliseconds store_return_grace{1000};
+    /// Pause between two looks at the store within that time.
+    core::milliseconds store_look_pause{400};
     /// Pause of a member that no other member answers, so that one that is cut off does not take
     /// the lead again and again; doubles up to the longest.
     core::milliseconds first_isolated_pause{3000};
@@ -51,6 +56,9 @@
     void on_lead_gone(core::instant now);
     /// Takes in another member's answer to the probe.
     void on_probe_answer(bool hears_lead, core::instant now);
+    /// The store has answered this member, which stands.
+    /// @return whether it may write the next epoch, or must leave the lead time to come back.
+    [[nodiscard]] bool on_store_answered(core::instant now);
     /// The attempt to stand ended without success.
     void on_stand_failed(core::instant now);
 
@@ -74,6 +82,8 @@
     bool refuted = false;
     core::milliseconds isolated_pause;
     core::instant isolated_since{};
+    /// Since when the store answers this member while its lead lacks it.
+    core::instant store_seen{};
 };
 
 } // namespace chicorylift::batch
--- a/src/batch/election.cpp
+++ b/src/batch/election.cpp
@@ -30,6 +30,27 @@
 {
     this->without_store = false;
     this->standing = false;
+    this->store_seen = {};
+}
+
+bool election::on_store_answered(core::instant now)
+{
+    if (!this->without_store || !this->hears_lead(now))
+    {
+        return true;
+    }
+    if (this->store_seen == core::instant{})
+    {
+        this->store_seen = now;
+    }
+    if (now - this->store_seen >= this->settings.store_return_grace)
+    {
+        return true;
+    }
+    // Another lead would have to find out what this one started meanwhile.
+    this->standing = false;
+    this->not_before = now + this->settings.store_look_pause;
+    return false;
 }
 
 void election::on_lead_without_store(core::instant now)
@@ -65,6 +86,7 @@
 {
     this->standing = false;
     this->probing = false;
+    this->store_seen = {};
     this->not_before = std::max(this->not_before, now + retry_pause + this->settings.jitter);
 }
 
--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -35,7 +35,7 @@
     : loop(loop), values(std::move(values)), incarnation(support::random_name()),
       store(std::make_unique<platform::table_adapter>(loop, this->values.store)),
       worker(std::make_unique<platform::worker_adapter>(loop, this->values.worker)),
-      lease(lease_length(this->values)), worker_answered(core::boot_clock::now()),
+      lease(lease_length(this->values)), contact(core::boot_clock::now()),
       election(election_settings_for(this->values.name), core::boot_clock::now())
 {
     net::async_server_limits small;
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -2,6 +2,7 @@
 
 #include "chicorylift/batch/election.hpp"
 #include "chicorylift/batch/run_table.hpp"
+#include "chicorylift/batch/worker_contact.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 #include "net/async_http_server.hpp"
 #include "net/event_loop.hpp"
@@ -83,7 +84,7 @@
     bool look_in_flight = false;
     bool look_again = false;
     bool worker_left = false;
-    core::instant worker_answered{};
+    batch::worker_contact contact;
     net::event_loop::timer_id look_timer{};
 
     std::uint64_t epoch{};
--- a/src/site/agent_lead.cpp
+++ b/src/site/agent_lead.cpp
@@ -366,7 +366,7 @@
         return;
     }
     // A lead may have been heard while the row was read.
-    if (stand && this->election.is_standing())
+    if (stand && this->election.is_standing() && this->election.on_store_answered(now))
     {
         this->stand(current.epoch() + 1, version);
     }
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -16,8 +16,6 @@
 // Pause between looks while ends wait to be written, which would answer each look at once.
 constexpr core::milliseconds unnoted_pause{150};
 constexpr core::milliseconds failed_look_pause{200};
-// A worker that has not answered for this long is reported, and its lease is left to end.
-constexpr core::milliseconds silent_after{1500};
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
 
@@ -161,7 +159,8 @@
     what.noted = this->noted;
     // A worker that does not answer is left alone, so that its lease ends when the lead thinks.
     what.lease_until = this->info.gone ? ports::worker_clock{0} : this->lease.end_on_worker(now);
-    const bool quiet = this->lists_valid && !this->runs.has_listed_ends() && !this->look_again &&
+    const bool quiet = this->lists_valid && this->contact.is_sound() &&
+                       !this->runs.has_listed_ends() && !this->look_again &&
                        !this->runs.has_open_orders();
     what.wait = quiet ? look_wait : core::milliseconds{0};
     this->look_again = false;
@@ -192,7 +191,7 @@
         this->schedule_look(failed_look_pause);
         return;
     }
-    this->worker_answered = now;
+    this->contact.on_answer(now);
     if (this->info.gone && !this->worker_left)
     {
         this->info.gone = false;
@@ -230,14 +229,15 @@
 void agent::worker_failed(const std::string& why)
 {
     const core::instant now = core::boot_clock::now();
-    if (!this->info.gone && now - this->worker_answered > silent_after &&
-        this->info.born.count() != 0)
+    this->contact.on_failure();
+    // It is reported, and its lease is left to end.
+    if (!this->info.gone && this->contact.is_silent(now) && this->info.born.count() != 0)
     {
         this->info.gone = true;
         this->lists_valid = false;
         events::write("worker_silent", {{"worker", this->info.id.str()},
                                         {"reason", why},
-                                        {"for_ms", (now - this->worker_answered).count()}});
+                                        {"for_ms", this->contact.silence(now).count()}});
         this->report_soon();
     }
 }
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -352,6 +352,8 @@
         }
         events::write(lost ? "store_lost" : "store_regained",
                       {{"at", "lead"}, {"epoch", this->my_epoch}});
+        // All at once, so that nobody takes over for want of word.
+        this->call_agents(core::milliseconds{0});
     }
     this->call_agents(silent_after);
     if (!this->confirmed && now - this->woke > confirmation_patience && this->hears_majority(now))
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -3,6 +3,7 @@
 #include "chicorylift/batch/run_table.hpp"
 #include "chicorylift/batch/site_config.hpp"
 #include "chicorylift/batch/takeover_guard.hpp"
+#include "chicorylift/batch/worker_contact.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 
 #include <doctest/doctest.h>
@@ -132,6 +133,29 @@
     CHECK(lease.end_on_worker(at(milliseconds{6000})).count() == 0);
 }
 
+TEST_CASE("a worker of whose answers some are lost is not silent, one without any is")
+{
+    worker_contact contact(at(milliseconds{0}));
+    contact.on_answer(at(milliseconds{100}));
+    // A call that waited for news, then one that did not.
+    contact.on_failure();
+    CHECK(!contact.is_silent(at(milliseconds{1700})));
+    CHECK(!contact.is_sound());
+    contact.on_failure();
+    CHECK(!contact.is_silent(at(milliseconds{2400})));
+    contact.on_failure();
+    CHECK(contact.is_silent(at(milliseconds{2600})));
+    contact.on_answer(at(milliseconds{2700}));
+    CHECK(!contact.is_silent(at(milliseconds{9000})));
+    CHECK(contact.is_sound());
+    // Refused connections fail at once; the worker may be starting again.
+    for (int call = 0; call < 5; ++call)
+    {
+        contact.on_failure();
+    }
+    CHECK(!contact.is_silent(at(milliseconds{3700})));
+}
+
 TEST_CASE("a start without an answer stays possible until a stop is acknowledged")
 {
     run_table table;
@@ -319,6 +343,37 @@
     CHECK(vote.tick(true, at(milliseconds{2500})) == election_step::nothing);
 }
 
+TEST_CASE("a lead whose store was out for all keeps its place when the store is back")
+{
+    election vote({}, at(milliseconds{0}));
+    vote.on_lead_heard(at(milliseconds{100}));
+    vote.on_lead_without_store(at(milliseconds{120}));
+    REQUIRE(vote.tick(true, at(milliseconds{130})) == election_step::stand);
+    // The store is back, and this member has noticed before the lead.
+    CHECK(!vote.on_store_answered(at(milliseconds{140})));
+    CHECK(!vote.is_standing());
+    vote.on_lead_heard(at(milliseconds{700}));
+    vote.on_lead_with_store();
+    CHECK(vote.tick(true, at(milliseconds{1500})) == election_step::nothing);
+    // Later the store leaves the lead alone: the time counts anew.
+    vote.on_lead_heard(at(milliseconds{5000}));
+    vote.on_lead_without_store(at(milliseconds{5000}));
+    REQUIRE(vote.tick(true, at(milliseconds{5010})) == election_step::stand);
+    CHECK(!vote.on_store_answered(at(milliseconds{5020})));
+    vote.on_lead_heard(at(milliseconds{6000}));
+    vote.on_lead_without_store(at(milliseconds{6000}));
+    REQUIRE(vote.tick(true, at(milliseconds{6030})) == election_step::stand);
+    CHECK(vote.on_store_answered(at(milliseconds{6040})));
+}
+
+TEST_CASE("a member that hears no lead does not wait for one to reach the store")
+{
+    election vote({}, at(milliseconds{0}));
+    vote.on_lead_heard(at(milliseconds{100}));
+    vote.on_lead_without_store(at(milliseconds{120}));
+    CHECK(vote.on_store_answered(at(milliseconds{2000})));
+}
+
 TEST_CASE("a lead that says that it is gone is replaced without waiting for its silence")
 {
     election vote({}, at(milliseconds{0}));
