Refuse soon when an entry's store has just fallen silent

The feeds showed the silence no sooner than 3.4 s after it began.

Ruled out: the balancer (it had taken the entry out by 5 s), the other entries.

Change: the configuration's feed waits 600 ms instead of 1 s; an entry that has heard nothing of its store for 1 s reads before it writes, and refuses, truly, when the read is not answered. Retry-After begins at 1 s and spreads wider the longer the store is silent.

--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -20,8 +20,10 @@
 using ports::front_answer;
 
 constexpr core::milliseconds tick_interval{250};
-// A confirmation every second leaves room for one that is lost before the keys' time is over.
-constexpr core::milliseconds config_wait{1000};
+// Several confirmations fit into the keys' time, and a store that falls silent shows soon.
+constexpr core::milliseconds config_wait{600};
+// A store that is only slow answers a wait within this time.
+constexpr core::milliseconds doubtful_after{1000};
 constexpr core::milliseconds job_wait{3000};
 // A change may stay unseen for a second while the store drops its history; answers take time too.
 constexpr core::milliseconds revocation_margin{1600};
@@ -230,9 +232,19 @@
 
 core::milliseconds entry::come_back()
 {
-    // Spread, so that those who were refused together do not return together.
-    std::uniform_int_distribution<std::int64_t> spread(1000, 3000);
-    return core::milliseconds{spread(this->random)};
+    // Spread, so that those who were refused together do not return together; soon while the
+    // fault is young and may be this entry's alone.
+    constexpr core::milliseconds soonest{1000};
+    constexpr core::milliseconds widest{2000};
+    std::uniform_int_distribution<std::int64_t> spread(
+        0, std::min(this->store_silence(), widest).count());
+    return soonest + core::milliseconds{spread(this->random)};
+}
+
+core::milliseconds entry::store_silence() const
+{
+    return core::boot_clock::now() -
+           std::max(this->config_rows->answered(), this->job_rows->answered());
 }
 
 bool entry::store_is_lost() const
@@ -313,9 +325,31 @@
     const ports::row_place place = place_of(call.job, job_row_kind::accepted);
     open->changes.conditions.push_back({place, 0});
     open->changes.writes.push_back({place, to_row(open->job).SerializeAsString()});
+    if (this->store_silence() > doubtful_after)
+    {
+        this->ask_store_first(open);
+        return;
+    }
     this->try_submission(open);
 }
 
+void entry::ask_store_first(const std::shared_ptr<submission>& open)
+{
+    // A write without an answer could only be told as unknown, and the caller could not go to
+    // another entry with it.
+    this->store->read(job_table, site_partition, open->job.id.str(), 1, commit_patience,
+                      [this, open](const absl::StatusOr<ports::row_page>& page)
+                      {
+                          if (page.ok())
+                          {
+                              this->try_submission(open);
+                              return;
+                          }
+                          this->refuse(*open, front_answer::not_run,
+                                       std::string(page.status().message()));
+                      });
+}
+
 void entry::try_submission(const std::shared_ptr<submission>& open)
 {
     const core::milliseconds left = open->limit - core::boot_clock::now();
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -44,6 +44,8 @@
     void answer(const net::server_request& request, const responder& respond);
     void submit(const net::server_request& request, const batch::resolved_call& call,
                 const std::string& key, const responder& respond);
+    /// Reads before it writes, so that a refusal is known to be true.
+    void ask_store_first(const std::shared_ptr<submission>& open);
     void try_submission(const std::shared_ptr<submission>& open);
     void on_submission(const std::shared_ptr<submission>& open,
                        const ports::commit_outcome& outcome);
@@ -66,6 +68,8 @@
     [[nodiscard]] core::milliseconds allowed_age() const noexcept;
     [[nodiscard]] core::milliseconds come_back();
     [[nodiscard]] bool store_is_lost() const;
+    /// @return time since the store has last answered anything.
+    [[nodiscard]] core::milliseconds store_silence() const;
     [[nodiscard]] bool takes_traffic() const;
 
     net::event_loop& loop;
@@ -80,8 +84,6 @@
     bool store_lost = false;
     bool config_stale = false;
     core::instant drain_limit{};
-    core::instant last_commit_failure{};
-    core::instant last_commit_success{};
     std::function<void()> finished;
     std::unique_ptr<mirrored_table> config_rows;
     std::unique_ptr<mirrored_table> job_rows;
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -169,6 +169,7 @@
     void succeed(core::instant asked)
     {
         this->confirmed = std::max(this->confirmed, asked);
+        this->answered = core::boot_clock::now();
         this->failing_since = {};
         this->pause = first_pause;
         this->on_confirmed();
@@ -208,6 +209,7 @@
     ports::revision list_version{};
     core::instant list_asked{};
     core::instant confirmed{};
+    core::instant answered{};
     core::instant failing_since{};
     core::milliseconds pause = first_pause;
     bool loaded = false;
@@ -243,6 +245,11 @@
     return this->inner->confirmed;
 }
 
+core::instant mirrored_table::answered() const noexcept
+{
+    return this->inner->answered;
+}
+
 core::milliseconds mirrored_table::failing_for(core::instant now) const noexcept
 {
     return this->inner->failing_since == core::instant{} ? core::milliseconds{0}
--- a/src/site/mirrored_table.hpp
+++ b/src/site/mirrored_table.hpp
@@ -41,6 +41,8 @@
     [[nodiscard]] bool is_loaded() const noexcept;
     /// @return when the call was sent that last confirmed the rows.
     [[nodiscard]] core::instant confirmed() const noexcept;
+    /// @return when a call was last answered with success.
+    [[nodiscard]] core::instant answered() const noexcept;
     /// @return how long calls have failed without one that succeeded; 0 after a success.
     [[nodiscard]] core::milliseconds failing_for(core::instant now) const noexcept;
     /// @return the version of a row, or 0 when there is none.
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -191,6 +191,23 @@
     check_once(site, 3 + 1);
 }
 
+TEST_CASE("an entry whose store has just fallen silent refuses soon enough to go elsewhere")
+{
+    batch_site site(1, 1);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    site.store().set_faults({.silent = true});
+    std::this_thread::sleep_for(milliseconds{1200});
+    const auto asked = std::chrono::steady_clock::now();
+    const auto answer = site.call(0, "POST", job_name(1), job_body("run 100", 1, 1, false));
+    CHECK(answer.status == 503);
+    // Callers wait 3 s in all; half of it is left for another entry.
+    CHECK(std::chrono::steady_clock::now() - asked < milliseconds{1500});
+    site.store().set_faults({});
+    CHECK(submit(site, 2, job_body("run 100", 1, 1, false)) == 200);
+    CHECK(site.call(0, "GET", job_name(1)).status == 410);
+}
+
 TEST_CASE("writes whose answers are lost, or that come late, make one job each")
 {
     batch_site site(2, 3);
