Take an entry without its store out of the traffic, and its connections with it

It stayed ready until its configuration was too old (2.9 s after the cut), and the caller came back on the connection that it had, which the balancer cannot give to another entry.

Ruled out: Retry-After (the returns came after 1 s, as told).

Change: an entry is not ready when its store has been silent for 1.3 s; a refusal for want of the store ends the connection.

Test: site_test 'an entry whose store has just fallen silent ...' now also looks at readiness and at the connection's end; the daemon before fails both.

--- a/src/net/async_http_server.cpp
+++ b/src/net/async_http_server.cpp
@@ -411,7 +411,8 @@
         --this->pending;
         here->waiting_for_answer = false;
         here->since = this->loop.now();
-        here->close_after_answer = here->close_after_answer || this->draining;
+        here->close_after_answer =
+            here->close_after_answer || this->draining || response.ends_connection;
         here->output += print(response, !here->close_after_answer);
         if (!this->flush(here) || here->close_after_answer)
         {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -36,6 +36,9 @@
     std::string content_type = "application/json";
     std::string body;
     std::vector<http_header> headers;
+    /// Ends the connection, so that a balancer may give the caller's next one to another server;
+    /// only the asynchronous server does so.
+    bool ends_connection = false;
 };
 
 /// Bounds of a server.
--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -24,6 +24,8 @@
 constexpr core::milliseconds config_wait{600};
 // A store that is only slow answers a wait within this time.
 constexpr core::milliseconds doubtful_after{1000};
+// Beyond this callers are better served elsewhere; the balancer needs two misses more.
+constexpr core::milliseconds unready_after{1300};
 constexpr core::milliseconds job_wait{3000};
 // A change may stay unseen for a second while the store drops its history; answers take time too.
 constexpr core::milliseconds revocation_margin{1600};
@@ -217,7 +219,7 @@
 bool entry::takes_traffic() const
 {
     return !this->draining && this->config.has_value() && this->job_rows->is_loaded() &&
-           this->config_age() <= this->allowed_age();
+           this->config_age() <= this->allowed_age() && this->store_silence() <= unready_after;
 }
 
 core::milliseconds entry::config_age() const
@@ -267,7 +269,10 @@
                        {"config_version", this->config.has_value() ? this->config->version : 0},
                        {"config_age_ms", this->config_age().count()}});
         this->figures.count("calls_refused", to_text(resolved.refusal));
-        respond(platform::print_refusal(resolved.refusal, this->come_back()));
+        net::server_response response =
+            platform::print_refusal(resolved.refusal, this->come_back());
+        response.ends_connection = resolved.refusal == batch::call_refusal::stale_config;
+        respond(response);
         return;
     }
     switch (resolved.kind)
@@ -429,7 +434,9 @@
                    {"tries", static_cast<std::int64_t>(open.tries)},
                    {"config_age_ms", this->config_age().count()}});
     this->figures.count("jobs", unknown ? "unsettled" : "refused");
-    open.respond(platform::print_answer(answer, why, this->come_back()));
+    net::server_response response = platform::print_answer(answer, why, this->come_back());
+    response.ends_connection = this->store_silence() > doubtful_after;
+    open.respond(response);
 }
 
 void entry::read_job(const core::job_id& job, core::milliseconds patience,
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -3,6 +3,8 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fstream>
@@ -42,6 +44,38 @@
     CHECK(static_cast<int>(seen.done.size()) == units);
 }
 
+int ready_status(const batch_site& site)
+{
+    net::client_request probe;
+    probe.address = site.ready(0);
+    probe.path = "/v1/ready";
+    const auto answer = net::exchange(probe);
+    return answer.ok() ? answer->status : 0;
+}
+
+/// @return what an entry sends on one connection until it ends it, or until three seconds pass.
+std::string read_to_end(const batch_site& site, const std::string& request)
+{
+    Poco::Net::StreamSocket connection{Poco::Net::SocketAddress(site.front(0))};
+    connection.setReceiveTimeout(Poco::Timespan(3, 0));
+    connection.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::string text;
+    std::array<char, 1024> part{};
+    try
+    {
+        for (int got = 1; got > 0;)
+        {
+            got = connection.receiveBytes(part.data(), part.size());
+            text.append(part.data(), static_cast<std::size_t>(std::max(0, got)));
+        }
+    }
+    catch (const Poco::TimeoutException&)
+    {
+        text += "still open";
+    }
+    return text;
+}
+
 /// Hands a job in as a caller does: again after no answer or an unknown outcome.
 int submit(const batch_site& site, int number, const std::string& body, int entries = 1)
 {
@@ -203,7 +237,19 @@
     CHECK(answer.status == 503);
     // Callers wait 3 s in all; half of it is left for another entry.
     CHECK(std::chrono::steady_clock::now() - asked < milliseconds{1500});
+    // On a new connection the caller may be given another entry.
+    const std::string refused =
+        read_to_end(site, "POST /q/" + job_name(3) +
+                              " HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key-a\r\n"
+                              "Content-Length: " +
+                              std::to_string(job_body("1", 1, 1, false).size()) + "\r\n\r\n" +
+                              job_body("1", 1, 1, false));
+    CHECK(refused.find("503") != std::string::npos);
+    CHECK(refused.find("still open") == std::string::npos);
+    // The balancer asks every second and takes an entry out after two misses.
+    CHECK(batch_site::wait_for([&] { return ready_status(site) == 503; }, milliseconds{500}));
     site.store().set_faults({});
+    CHECK(batch_site::wait_for([&] { return ready_status(site) == 200; }, milliseconds{2000}));
     CHECK(submit(site, 2, job_body("run 100", 1, 1, false)) == 200);
     CHECK(site.call(0, "GET", job_name(1)).status == 410);
 }
