Move short work off a hung worker soon; ask again soon who heard the lead

Ruled out: lost answers as cause of the stop (the unit was listed, without progress).

Change: work has stalled after 1.5 s or 45% of its estimate without progress, counted up to when the worker's lists were read (reports now tell their age), so that silence of the worker is not taken for a stall. A refuted member asks again after 0.4 s.

Trace: the stand-in's workers tell no progress, and work of 2.5 s declared as 0.3 s was stopped every 1.5 s for ever.

--- a/include/chicorylift/batch/election.hpp
+++ b/include/chicorylift/batch/election.hpp
@@ -14,6 +14,9 @@
     core::milliseconds suspect_after{1300};
     /// How long others are given to say that they hear the lead.
     core::milliseconds probe_time{250};
+    /// Pause before others are asked again who heard the lead: they may have heard it a report's
+    /// interval (0.6 s) later, and know it lost by then.
+    core::milliseconds refuted_pause{400};
     /// Pause between two attempts to take over from a lead that cannot reach the store.
     core::milliseconds without_store_pause{1000};
     /// A member that could not reach the store either gives the lead so long once it can: after an
--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -93,6 +93,8 @@
     worker_info worker;
     /// The lists were read from the worker under the scheduler's epoch, and are complete.
     bool lists_valid = false;
+    /// Time since they were read.
+    core::milliseconds lists_age{};
     std::vector<reported_run> runs;
     std::vector<reported_end> ends;
     /// The agent's process is about to end; its worker goes on.
--- a/src/batch/election.cpp
+++ b/src/batch/election.cpp
@@ -148,7 +148,7 @@
     {
         // Others hear the lead: the fault is on the way between it and this member.
         this->known_gone = false;
-        this->not_before = now + this->settings.suspect_after;
+        this->not_before = now + this->settings.refuted_pause;
         return election_step::nothing;
     }
     if (others && !this->answered)
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -10,13 +10,25 @@
 namespace
 {
 
-// Work without progress for this long, or for this share of its estimate, has stalled.
-constexpr core::milliseconds shortest_stall{4000};
+// Work without progress for this long, or for this share of its estimate, has stalled. Progress
+// comes in percents; work that is twenty times slower than declared shows one in a fifth of its
+// estimate. Coming back to a checkpoint shows none for up to 0.6 s.
+constexpr core::milliseconds shortest_stall{1500};
 constexpr double stall_share = 0.45;
 constexpr core::milliseconds stall_distrust{8000};
 // A gang that an earlier lead started is stopped when members are missing for this long.
 constexpr core::milliseconds gang_patience{2000};
 constexpr double milliseconds_a_second = 1000.0;
+// Work whose worker tells no progress at all must end some day.
+constexpr int most_doublings = 6;
+
+/// @return how long a run may go without progress after its unit has stalled so often.
+core::milliseconds stall_patience(const step_spec& step, int stalls)
+{
+    const core::milliseconds share{
+        static_cast<std::int64_t>(static_cast<double>(step.estimate.count()) * stall_share)};
+    return std::max(shortest_stall, share) * (1 << std::min(stalls, most_doublings));
+}
 
 } // namespace
 
@@ -85,14 +97,16 @@
             continue;
         }
         const step_spec& step = job->second.spec.steps[at(run.step)];
-        const auto allowed = std::max<core::milliseconds>(
-            shortest_stall, core::milliseconds{static_cast<std::int64_t>(
-                                static_cast<double>(step.estimate.count()) * stall_share)});
+        std::vector<unit_state>& units =
+            job->second.occurrences[run.occurrence][at(run.step)].units;
+        const core::milliseconds allowed =
+            stall_patience(step, units[at(run.members.front().index)].stalls);
         bool stalled = !step.long_running;
         for (const member_state& member : run.members)
         {
             stalled = stalled && member.confirmed && !member.ended &&
-                      member.phase == run_phase::running && now - member.progressed > allowed;
+                      member.phase == run_phase::running &&
+                      this->workers[member.agent].listed - member.progressed > allowed;
         }
         if (!stalled)
         {
@@ -105,9 +119,8 @@
             {
                 worker.record.distrusted_until = now + stall_distrust;
             }
-            job->second.occurrences[run.occurrence][at(run.step)]
-                .units[at(member.index)]
-                .failed_on.insert(member.agent);
+            units[at(member.index)].failed_on.insert(member.agent);
+            ++units[at(member.index)].stalls;
         }
         this->stop_run(run, "it makes no progress");
     }
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -53,6 +53,7 @@
         return;
     }
     worker.lost = false;
+    worker.listed = now - report.lists_age;
     for (const reported_end& end : report.ends)
     {
         this->take_end(worker, end, now);
@@ -208,7 +209,7 @@
     if (reported.percent != member->percent || reported.phase != run_phase::running)
     {
         member->percent = reported.percent;
-        member->progressed = now;
+        member->progressed = worker.listed;
     }
 }
 
@@ -242,7 +243,7 @@
     member.phase = reported.phase;
     member.checkpoint = reported.checkpoint;
     member.percent = reported.percent;
-    member.progressed = now;
+    member.progressed = worker.listed;
     member.last_order = now;
     run.members.push_back(member);
     if (!has_job)
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -21,6 +21,8 @@
     std::set<run_number> failed;
     /// Workers that the unit failed on; other workers are tried first.
     std::set<agent_id> failed_on;
+    /// Runs that were stopped for want of progress; each doubles the patience with the next.
+    int stalls = 0;
     /// Runs that were given up because their lease lapsed; their later reports do not count.
     std::set<run_number> given_up;
     /// No start before this moment.
@@ -146,6 +148,8 @@
     bool lost = false;
     bool leaving = false;
     core::instant heard{};
+    /// When the lists of the last report were read from the worker.
+    core::instant listed{};
     core::instant renewed{};
     /// Ends that wait until their job is written: position in the list to job and change.
     std::map<std::uint64_t, std::pair<core::job_id, std::uint64_t>> pending_ends;
--- a/src/site/agent_lead.cpp
+++ b/src/site/agent_lead.cpp
@@ -260,6 +260,7 @@
     report.set_agent(this->values.name);
     *report.mutable_worker() = to_message(this->info);
     report.set_lists_valid(this->lists_valid);
+    report.set_lists_age_ms(static_cast<std::uint32_t>(this->contact.silence(now).count()));
     if (this->lists_valid)
     {
         add_runs(report, this->runs.runs());
--- a/src/site/rows.cpp
+++ b/src/site/rows.cpp
@@ -286,6 +286,7 @@
     report.worker = from(message.worker());
     report.lists_valid = message.lists_valid();
     report.leaving = message.leaving();
+    report.lists_age = core::milliseconds{message.lists_age_ms()};
     for (const wire::batch_run& run : message.runs())
     {
         const auto unit = batch::unit_key_from(run.unit());
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -423,6 +423,29 @@
     CHECK(completed(site) >= 39);
 }
 
+TEST_CASE("short work that stands still is moved before it has cost twice its length")
+{
+    testing::site_shape two_workers;
+    two_workers.racks = 1;
+    two_workers.workers_a_rack = 2;
+    virtual_site site(12, two_workers);
+    site.hang(milliseconds{1500}, 0, seconds{30});
+    constexpr milliseconds length{2000};
+    for (const char* const name : {"first", "second"})
+    {
+        site.submit(milliseconds{2000},
+                    one_step_job(name, "x", queue_with(1), step_of(1, 8, length)), {{length}});
+    }
+    site.play(seconds{20});
+    check_sound(site);
+    CHECK(completed(site) == 2);
+    for (const auto& [id, result] : site.results())
+    {
+        CAPTURE(id.str());
+        CHECK(result.ended.value() - result.accepted < 2 * length + length + milliseconds{500});
+    }
+}
+
 TEST_CASE("work that stands still is moved")
 {
     virtual_site site(12);
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -6,7 +6,9 @@
 #include "chicorylift/batch/worker_contact.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <optional>
 
 /// Pure decisions about batch jobs, each with the failures that it is for.
 namespace
@@ -281,6 +283,94 @@
     CHECK(scheduler.placing_tries() <= 8 + jobs);
 }
 
+/// A scheduler with one worker and one job of one unit.
+class lone_worker
+{
+public:
+    lone_worker()
+    {
+        this->report.agent = agent_id("a");
+        this->report.worker.id = core::worker_id("w");
+        this->report.worker.born = unix_time{1};
+        this->report.worker.service = core::service_id("service");
+        this->report.worker.capacity = {32000, 131072, 8};
+        this->report.worker.announced = true;
+        this->report.lists_valid = true;
+        job_spec job;
+        job.id = core::job_id("j");
+        job.terms.service = core::service_id("service");
+        job.steps = {gang_of(1, 8)};
+        job.steps.front().gang = false;
+        job.steps.front().estimate = milliseconds{2000};
+        this->scheduler.add_job(job, {}, false, at(milliseconds{0}));
+    }
+
+    /// Reports after a while.
+    /// @return the action ordered then, if any.
+    std::optional<order> pass(milliseconds forward, milliseconds lists_age = {})
+    {
+        this->now += forward;
+        this->report.lists_age = lists_age;
+        this->scheduler.on_report(this->report, at(this->now));
+        this->scheduler.on_renewal_sent(this->report.agent, at(this->now));
+        const auto orders = this->scheduler.decide(at(this->now), {}, true);
+        return orders.empty() ? std::nullopt : std::optional(orders.front());
+    }
+
+    /// Waits for a start, carries it out and shows the unit as running.
+    void run(std::int64_t percent)
+    {
+        auto ordered = this->pass(milliseconds{100});
+        while (!ordered.has_value() || ordered->what != order::action::start)
+        {
+            ordered = this->pass(milliseconds{100});
+        }
+        this->report.runs = {{unit("j"), ordered->run, run_phase::running, "", percent}};
+    }
+
+    /// @return how long the run may go without progress until it is stopped.
+    milliseconds patience()
+    {
+        this->run(0);
+        const milliseconds began = this->now;
+        auto ordered = this->pass(milliseconds{100});
+        while (!ordered.has_value() || ordered->what != order::action::stop)
+        {
+            ordered = this->pass(milliseconds{100});
+        }
+        const milliseconds waited = this->now - began;
+        this->report.runs.clear();
+        this->report.ends = {{++this->ends, unit("j"), ordered->run, end_kind::stopped, "", ""}};
+        return waited;
+    }
+
+private:
+    site_scheduler scheduler{{}, at(milliseconds{0})};
+    worker_report report;
+    milliseconds now{0};
+    std::uint64_t ends = 0;
+};
+
+TEST_CASE("work is not taken as standing still while its worker's lists are old")
+{
+    lone_worker site;
+    site.run(10);
+    CHECK(!site.pass(milliseconds{500}).has_value());
+    CHECK(!site.pass(milliseconds{3000}, milliseconds{2900}).has_value());
+    CHECK(site.pass(milliseconds{100}).value().what == order::action::stop);
+}
+
+TEST_CASE("work whose worker tells no progress is stopped ever later, and so can end")
+{
+    constexpr milliseconds step{100};
+    lone_worker site;
+    const milliseconds first = site.patience();
+    CHECK(first >= milliseconds{1500});
+    const milliseconds second = site.patience();
+    CHECK(second >= 2 * first - 2 * step);
+    CHECK(site.patience() >= 2 * second - 2 * step);
+}
+
 TEST_CASE("a new lead places nothing before it has heard whether work was started unwritten")
 {
     const milliseconds lapse{5500};
@@ -392,6 +482,29 @@
     CHECK(vote.on_store_answered(at(milliseconds{2000})));
 }
 
+TEST_CASE("a member that knew of a lost lead before the others asks them again soon")
+{
+    election vote({}, at(milliseconds{0}));
+    vote.on_lead_heard(at(milliseconds{100}));
+    milliseconds now{1500};
+    REQUIRE(vote.tick(true, at(now)) == election_step::probe);
+    // The others heard the lead a report's interval later.
+    vote.on_probe_answer(true, at(now));
+    int probes = 1;
+    election_step step = election_step::nothing;
+    while (step != election_step::stand && now < milliseconds{5000})
+    {
+        now += milliseconds{10};
+        step = vote.tick(true, at(now));
+        probes += step == election_step::probe ? 1 : 0;
+        vote.on_probe_answer(now < milliseconds{2000}, at(now));
+    }
+    // Lost at 0.1 s, known to all at 2.0 s; the placing of work resumes within 2 s of a loss plus
+    // the time that the others took to notice.
+    CHECK(now < milliseconds{2800});
+    CHECK(probes <= 3);
+}
+
 TEST_CASE("a member near the store stands before one that is far from it")
 {
     const election_settings late_in_order{.jitter = milliseconds{220}};
