--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -18,7 +18,6 @@
 constexpr core::milliseconds stall_distrust{8000};
 // A gang that an earlier lead started is stopped when members are missing for this long.
 constexpr core::milliseconds gang_patience{2000};
-constexpr double milliseconds_a_second = 1000.0;
 // Work whose worker tells no progress at all must end some day.
 constexpr int most_doublings = 6;
 
@@ -279,8 +278,7 @@
                      static_cast<double>((now - job.arrived).count()) >
                          this->settings.weights.hold_after * static_cast<double>(slack.count());
     const step_spec& step = this->spec_of(group);
-    const double size = static_cast<double>(step.units) * work_rate(step) *
-                        static_cast<double>(step.estimate.count()) / milliseconds_a_second;
+    const double size = work_of(step, static_cast<std::size_t>(step.units), step.estimate);
     group.rank = static_cast<double>(job.terms.priority) * tier + (group.late ? tier / 2 : 0) +
                  (group.pressing ? 0 : tier / 4) +
                  (this->settings.weights.small_first ? size : waited);
--- a/src/batch/work_rate.hpp
+++ b/src/batch/work_rate.hpp
@@ -5,6 +5,8 @@
 namespace chicorylift::batch
 {
 
+inline constexpr std::int64_t whole_percent = 100;
+
 /// An accelerator's work counts as that of so many cores.
 inline constexpr double cores_an_accelerator = 8.0;
 
@@ -16,4 +18,13 @@
            static_cast<double>(step.per_unit.accelerators) * cores_an_accelerator;
 }
 
+/// @return work that so many units do in a time, in core-seconds.
+[[nodiscard]] inline double work_of(const step_spec& step, std::size_t units,
+                                    core::milliseconds time) noexcept
+{
+    constexpr double milliseconds_a_second = 1000.0;
+    return static_cast<double>(units) * work_rate(step) * static_cast<double>(time.count()) /
+           milliseconds_a_second;
+}
+
 } // namespace chicorylift::batch
