Keep a lead in its place whose writes go without an answer but whose reads do not

The store lost everybody's answers; no other lead would have fared better.

Ruled out: the kills (they came after), the store's reads (answered throughout).

Change: judge_store tells 'nothing can be written' (work may start unwritten) from 'nothing is answered' (another member may fare better); only the second is told to the agents. store_lost and store_regained carry both times.

Test: 'a store that answers reads but no writes is no reason for another lead'.

--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -28,8 +28,6 @@
 constexpr core::milliseconds lead_wait{1500};
 constexpr core::milliseconds member_wait{8000};
 constexpr core::milliseconds write_patience{800};
-// The store counts as lost for placing after this long.
-constexpr core::milliseconds store_lost_after{500};
 // An agent that was not heard for this long is called, so that one that restarted finds its lead.
 constexpr core::milliseconds silent_after{900};
 constexpr core::milliseconds majority_freshness{1500};
@@ -209,7 +207,7 @@
         }
     }
     orders.set_members_version(this->members_version);
-    orders.set_store_lost(this->store_lost);
+    orders.set_store_lost(this->store.silent);
     orders.set_unwritten_starts(this->guard.is_announcing());
     orders.set_takeover_settled(this->guard.may_place(core::boot_clock::now()));
     return message;
@@ -267,7 +265,7 @@
         return;
     }
     const auto began_pass = std::chrono::steady_clock::now();
-    const bool unwritten = this->store_lost && this->guard.may_start_unwritten();
+    const bool unwritten = this->store.lost && this->guard.may_start_unwritten();
     const std::vector<batch::order> orders =
         this->scheduler.decide(now, support::unix_now(), unwritten);
     this->log_records();
@@ -339,20 +337,29 @@
 {
     this->check_suspension();
     const core::instant now = core::boot_clock::now();
-    const bool writes_fail = this->write_failing_since != core::instant{} &&
-                             now - this->write_failing_since > store_lost_after;
-    const bool lost = writes_fail || (this->job_rows->failing_for(now) > store_lost_after &&
-                                      this->lead_rows->failing_for(now) > store_lost_after);
-    if (lost != this->store_lost)
+    const core::milliseconds writes_failing = this->write_failing_since == core::instant{}
+                                                  ? core::milliseconds{0}
+                                                  : now - this->write_failing_since;
+    const core::milliseconds reads_failing =
+        std::min(this->job_rows->failing_for(now), this->lead_rows->failing_for(now));
+    const batch::store_outlook seen = batch::judge_store(writes_failing, reads_failing);
+    if (seen.lost != this->store.lost)
     {
-        this->store_lost = lost;
-        if (lost)
+        if (seen.lost)
         {
             this->guard.announce(true);
         }
-        events::write(lost ? "store_lost" : "store_regained",
-                      {{"at", "lead"}, {"epoch", this->my_epoch}});
-        // All at once, so that nobody takes over for want of word.
+        events::write(seen.lost ? "store_lost" : "store_regained",
+                      {{"at", "lead"},
+                       {"epoch", this->my_epoch},
+                       {"writes_fail_ms", writes_failing.count()},
+                       {"reads_fail_ms", reads_failing.count()}});
+    }
+    const bool word = seen.silent != this->store.silent;
+    this->store = seen;
+    if (word)
+    {
+        // To all at once, so that nobody takes over for want of word.
         this->call_agents(core::milliseconds{0});
     }
     this->call_agents(silent_after);
@@ -445,7 +452,7 @@
         return false;
     }
     // Without the store another lead may have been chosen; then most agents follow that one.
-    return !this->store_lost || this->hears_majority(core::boot_clock::now());
+    return !this->store.lost || this->hears_majority(core::boot_clock::now());
 }
 
 void lead::resign()
--- a/src/site/lead.hpp
+++ b/src/site/lead.hpp
@@ -2,6 +2,7 @@
 
 #include "chicorylift/batch/scheduler.hpp"
 #include "chicorylift/batch/site_config.hpp"
+#include "chicorylift/batch/store_outlook.hpp"
 #include "chicorylift/batch/takeover_guard.hpp"
 #include "net/event_loop.hpp"
 #include "ports/table_service.hpp"
@@ -107,7 +108,7 @@
     batch::takeover_guard guard;
     bool confirmed = true;
     bool confirming = false;
-    bool store_lost = false;
+    batch::store_outlook store;
     core::instant began;
     core::instant last_tick;
     core::instant woke{};
--- a/src/site/lead_rows.cpp
+++ b/src/site/lead_rows.cpp
@@ -166,7 +166,7 @@
     const std::vector<core::job_id> jobs = this->scheduler.unwritten_jobs();
     if (this->write_in_flight || jobs.empty())
     {
-        if (jobs.empty() && !this->store_lost &&
+        if (jobs.empty() && !this->store.lost &&
             now - this->began > lapse_time(this->around.values))
         {
             this->guard.announce(false);
@@ -279,7 +279,7 @@
 void lead::trim()
 {
     const core::instant now = core::boot_clock::now();
-    if (now < this->next_trim || this->trim_in_flight || this->store_lost || !this->may_act())
+    if (now < this->next_trim || this->trim_in_flight || this->store.lost || !this->may_act())
     {
         return;
     }
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -439,9 +439,10 @@
     site.play(seconds{20});
     check_sound(site);
     CHECK(completed(site) == 2);
-    for (const auto& [id, result] : site.results())
+    for (const auto& each : site.results())
     {
-        CAPTURE(id.str());
+        CAPTURE(each.first.str());
+        const testing::job_result& result = each.second;
         CHECK(result.ended.value() - result.accepted < 2 * length + length + milliseconds{500});
     }
 }
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -2,6 +2,7 @@
 #include "chicorylift/batch/election.hpp"
 #include "chicorylift/batch/run_table.hpp"
 #include "chicorylift/batch/site_config.hpp"
+#include "chicorylift/batch/store_outlook.hpp"
 #include "chicorylift/batch/takeover_guard.hpp"
 #include "chicorylift/batch/worker_contact.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
@@ -465,6 +466,20 @@
     CHECK(vote.on_store_answered(at(milliseconds{2230})));
 }
 
+TEST_CASE("a store that answers reads but no writes is no reason for another lead")
+{
+    constexpr milliseconds none{0};
+    constexpr milliseconds lasting{2000};
+    const store_outlook unanswered = judge_store(lasting, none);
+    CHECK(unanswered.lost);
+    CHECK(!unanswered.silent);
+    CHECK(judge_store(none, lasting).silent);
+    CHECK(judge_store(none, lasting).lost);
+    CHECK(!judge_store(none, none).lost);
+    // One call that had to be repeated.
+    CHECK(!judge_store(milliseconds{400}, none).lost);
+}
+
 TEST_CASE("a lead that lacks the store alone is replaced at once")
 {
     election vote({}, at(milliseconds{0}));
