Take the time that resumed work needs from the settings

Cause: a stop of work that saves its state was weighed with 600 ms, a figure of the first site; the second comes back in 250 ms, so that its urgent work was denied reclaims that cost less than they gained.

Test: 'what a stop costs work that saves its state is the time to come back to it' (a constant fails one of its two checks).

The first site's bound is 600 ms: nothing changes there.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -204,6 +204,8 @@
     core::milliseconds resend = std::chrono::milliseconds{800};
     /// Factor on the duration of work away from its rack.
     double remote_factor = 3;
+    /// Time that resumed work takes to come back to its checkpoint; what stopping it costs.
+    core::milliseconds restore_time = std::chrono::milliseconds{600};
     placing_weights weights;
     /// Checkpoints of running work are written so often; when all workers lose power at once, work
     /// goes back by this much more than the workers' own interval.
--- a/src/batch/scheduler_reclaim.cpp
+++ b/src/batch/scheduler_reclaim.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-// Time that resumed work takes to come back to its checkpoint.
-constexpr core::milliseconds restore_time{600};
-
 /// @return the unit that stands for a group.
 unit_key first_unit(const work_group& group)
 {
@@ -90,7 +87,7 @@
     if (step.checkpointing)
     {
         // Work that saves its state loses only the time that it takes to come back to it.
-        lost = std::min(lost, restore_time);
+        lost = std::min(lost, this->settings.restore_time);
     }
     return work_of(step, run.members.size(), lost);
 }
--- a/src/site/lead.cpp
+++ b/src/site/lead.cpp
@@ -51,6 +51,7 @@
     result.epoch = epoch;
     result.lapse = lapse_time(values);
     result.remote_factor = values.remote_factor;
+    result.restore_time = values.restore_time;
     return result;
 }
 
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -125,6 +125,8 @@
            "time that a stopping process is given, in seconds")
         ->envname("CHICORYLIFT_STOP_GRACE_S")
         ->default_str("6");
+    add_time(app, "restore-ms", values.restore_time, "CHICORYLIFT_RESTORE_MS",
+             "time that resumed work takes to come back to its checkpoint");
     app.add_option("--remote-factor", values.remote_factor,
                    "factor on run times away from data or gang")
         ->envname("CHICORYLIFT_REMOTE_FACTOR")
@@ -171,6 +173,7 @@
     constexpr std::int64_t hour_ms = 3'600'000;
     // Shorter leases lapse before a new lead can renew them.
     checks.push_back(check_time("longest-lease-ms", values.longest_lease, 3000, hour_ms));
+    checks.push_back(check_time("restore-ms", values.restore_time, 0, hour_ms));
     checks.push_back(check_time("key-revocation-ms", values.key_revocation, 2500, hour_ms));
     checks.push_back(check_time("stop-grace-s", values.stop_grace, 500, hour_ms));
     if (values.keep_ended_s < 1)
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -32,6 +32,8 @@
     core::milliseconds key_revocation{5000};
     core::milliseconds stop_grace{6000};
     double remote_factor = 3;
+    /// Time that resumed work takes to come back to its checkpoint.
+    core::milliseconds restore_time{600};
     /// How long ended jobs can still be asked for.
     std::int64_t keep_ended_s = 120;
     std::uint32_t most_connections = 3000;
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -284,11 +284,12 @@
     CHECK(scheduler.placing_tries() <= 8 + jobs);
 }
 
-/// A scheduler with one worker and one job of one unit.
+/// A scheduler with one worker, which one unit fills, and a first job "j".
 class lone_worker
 {
 public:
-    lone_worker()
+    explicit lone_worker(const scheduler_settings& settings = {})
+        : scheduler(settings, at(milliseconds{10'000}))
     {
         this->report.agent = agent_id("a");
         this->report.worker.id = core::worker_id("w");
@@ -297,13 +298,23 @@
         this->report.worker.capacity = {32000, 131072, 8};
         this->report.worker.announced = true;
         this->report.lists_valid = true;
+        this->add("j", 1);
+    }
+
+    /// Adds a job of one unit that saves its state.
+    void add(const std::string& name, std::int64_t priority)
+    {
         job_spec job;
-        job.id = core::job_id("j");
+        job.id = core::job_id(name);
         job.terms.service = core::service_id("service");
+        job.terms.priority = priority;
+        // Enough to wait in for all that is tried here.
+        job.terms.slowdown = 100;
         job.steps = {gang_of(1, 8)};
         job.steps.front().gang = false;
+        job.steps.front().checkpointing = true;
         job.steps.front().estimate = milliseconds{2000};
-        this->scheduler.add_job(job, {}, false, at(milliseconds{0}));
+        this->scheduler.add_job(job, {}, false, at(this->now));
     }
 
     /// Reports after a while.
@@ -346,9 +357,10 @@
     }
 
 private:
-    site_scheduler scheduler{{}, at(milliseconds{0})};
+    site_scheduler scheduler;
     worker_report report;
-    milliseconds now{0};
+    // Later than any pause, so that nothing counts as done a moment ago.
+    milliseconds now{10'000};
     std::uint64_t ends = 0;
 };
 
@@ -361,6 +373,25 @@
     CHECK(site.pass(milliseconds{100}).value().what == order::action::stop);
 }
 
+TEST_CASE("what a stop costs work that saves its state is the time to come back to it")
+{
+    scheduler_settings settings;
+    // One unit does 65 core-seconds a second.
+    settings.weights.reclaim_base = 20;
+    settings.weights.reclaim_factor = 0;
+    const auto is_stopped = [&settings](milliseconds restore_time)
+    {
+        settings.restore_time = restore_time;
+        lone_worker site(settings);
+        site.run(10);
+        site.add("urgent", 0);
+        const auto ordered = site.pass(milliseconds{500});
+        return ordered.has_value() && ordered->what == order::action::stop;
+    };
+    CHECK(is_stopped(milliseconds{250}));
+    CHECK(!is_stopped(milliseconds{600}));
+}
+
 TEST_CASE("work whose worker tells no progress is stopped ever later, and so can end")
 {
     constexpr milliseconds step{100};
