Persist the agent of a run adopted from an unpersisted start

Cause: a leader without the store starts runs that no row names.

Ruled out: the worker's lease (renewed throughout), the majority rule of takeover_guard (epoch 2 heard of the unwritten starts).

Change: an adopted run's agent is persisted like that of a placed run.

Test: batch_takeover_test failed before (no unpersisted change after the adoption) and passes now; batch_test 31 and batch_site_test 17 pass.

Conclusion: the fence between leaders is the progress row alone, so every way to learn of a run must end there.

--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -260,6 +260,12 @@
     job_state& job = known->second;
     step_state& step = get_or_create_occurrence(job, run.occurrence)[to_index(run.step)];
     unit_state& unit = step.units[to_index(member.index)];
+    if (job.is_active())
+    {
+        // The earlier leader may have started the run without persisting its agent. The next leader
+        // must find the agent in the job's progress, or it starts the unit a second time.
+        this->add_job_agent(job, worker.agent);
+    }
     const bool superseded = unit.done || (unit.run != 0 && unit.run != run.number) ||
                             unit.expired_runs.contains(run.number);
     if (superseded || !job.is_active())
--- /dev/null
+++ b/tests/batch_takeover_test.cpp
@@ -0,0 +1,80 @@
+#include "chicorylift/batch/scheduler.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+/// Decisions of a leader that takes over from another one, in virtual time.
+namespace
+{
+
+using namespace chicorylift;
+using namespace chicorylift::batch;
+using core::instant_at;
+using std::chrono::milliseconds;
+
+job_spec one_unit_job()
+{
+    job_spec job;
+    job.id = core::job_id("j");
+    job.policy.queue = queue_id("q");
+    job.policy.service = core::service_id("s");
+    step_spec step;
+    step.per_unit = {1000, 1000, 8};
+    step.estimate = milliseconds{5000};
+    job.steps.push_back(step);
+    return job;
+}
+
+worker_report report_of(const std::string& agent)
+{
+    worker_report report;
+    report.agent = agent_id(agent);
+    report.worker.announced = true;
+    report.worker.started_at = unix_time{1};
+    report.worker.service = core::service_id("s");
+    report.worker.capacity = {32000, 131072, 8};
+    report.lists_valid = true;
+    return report;
+}
+
+scheduler_settings settings_of_epoch(std::uint64_t epoch)
+{
+    scheduler_settings settings;
+    settings.epoch = epoch;
+    return settings;
+}
+
+// The first leader starts a unit without persisting its agent, the second one adopts the run, and
+// the third one takes over while the run's agent has not reported yet. Unless the second leader
+// persists the agent, the third one starts the unit a second time.
+TEST_CASE("a run adopted from an unpersisted start is not started again by the next leader")
+{
+    const unit_key unit{core::job_id("j"), 0, 0, 0};
+    site_scheduler second(settings_of_epoch(2), instant_at(milliseconds{10'000}));
+    second.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'000}));
+    second.add_agent(agent_id("far"));
+    second.assume_runs_on_unreported_agents();
+    worker_report running = report_of("far");
+    running.runs = {{unit, (1U << 20U) + 125, run_phase::running, "", 20}};
+    second.on_report(running, instant_at(milliseconds{10'050}));
+    second.on_renewal_sent(agent_id("far"), instant_at(milliseconds{10'050}));
+    CHECK(second.schedule(instant_at(milliseconds{10'060}), {}, false).empty());
+
+    REQUIRE(second.unpersisted_jobs() == std::vector{unit.job});
+    CHECK(second.is_write_urgent(unit.job));
+    const job_progress persisted = second.progress_of(unit.job);
+    CHECK(persisted.agents.contains(agent_id("far")));
+    second.on_persisted(unit.job, second.unpersisted_version(unit.job));
+    CHECK(second.unpersisted_jobs().empty());
+
+    site_scheduler third(settings_of_epoch(3), instant_at(milliseconds{12'000}));
+    third.add_job(one_unit_job(), persisted, false, instant_at(milliseconds{12'000}));
+    third.on_report(report_of("near"), instant_at(milliseconds{12'010}));
+    third.on_renewal_sent(agent_id("near"), instant_at(milliseconds{12'010}));
+    CHECK(third.schedule(instant_at(milliseconds{12'020}), {}, true).empty());
+    third.on_report(running, instant_at(milliseconds{12'080}));
+    CHECK(third.schedule(instant_at(milliseconds{12'090}), {}, true).empty());
+    CHECK(third.active_runs() == 1);
+}
+
+} // namespace
