Probe a sample of the members in an election instead of all of them

Cause: the leader sent the whole member list (14 KB at 240 agents) with each reply until the agent confirmed it. The transport's queue filled with these faster than a leader's 0.15 cores could send them: a trial with the heap's size in the log showed 27, 53, 87, 121, 147 MB in five seconds with an empty task queue. Each leader passed 128 MB and died, each successor likewise. Every election also opened connections from every agent to every other one.

Ruled out: rows and scheduler state (8 runs at 121 MB), tasks posted to the event loop (none waiting).

Change: a member probes 8 others, spread evenly over the names and thus over the zones; the leader sends just these, the store read at start is limited likewise. A member that has left is dropped from an agent's list.

Test: batch_takeover_test, sample size and spread at 9, 240 and 22,000 members.

Conclusion: what an election or a heartbeat carries must not grow with the fleet.

--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -69,7 +69,7 @@
         [this](const std::string& address, const wire::envelope&)
         { this->loop.post([this, address] { this->on_send_failed(address); }); });
     this->register_member();
-    this->read_members();
+    this->read_probe_targets(this->values.name);
     this->read_leader_row(false);
     this->tick();
 }
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -72,7 +72,8 @@
     void campaign(std::uint64_t epoch, ports::revision version);
     void become_leader(std::uint64_t epoch, ports::revision version);
     void register_member();
-    void read_members();
+    /// Reads the members that this agent probes from the store, starting at the row @p first_key.
+    void read_probe_targets(const std::string& first_key);
 
     net::event_loop& loop;
     settings values;
@@ -107,7 +108,8 @@
     bool registered = false;
     bool leaving = false;
     bool leader_read_in_flight = false;
-    std::map<std::string, std::string> members;
+    /// Members that this agent asks before it campaigns: name to address.
+    std::map<std::string, std::string> probe_targets;
     std::uint64_t members_version{};
     batch::election election;
     core::instant next_leader_read{};
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -1,3 +1,4 @@
+#include "chicorylift/batch/probe_sample.hpp"
 #include "chicorylift/core/error.hpp"
 #include "site/agent.hpp"
 #include "site/row_codec.hpp"
@@ -113,14 +114,15 @@
     {
         this->lease.on_report_acknowledged(orders.reply_to());
     }
-    for (const wire::batch_member& member : orders.members())
-    {
-        this->members[member.agent()] = member.address();
-    }
     if (orders.members_size() > 0)
     {
-        this->members_version = orders.members_version();
+        this->probe_targets.clear();
+        for (const wire::batch_member& member : orders.members())
+        {
+            this->probe_targets[member.agent()] = member.address();
+        }
     }
+    this->members_version = orders.members_version();
     if (orders.noted_born_ms() == this->worker_info.started_at.count() &&
         orders.noted() > this->acknowledged_end)
     {
@@ -290,21 +292,18 @@
     {
         this->read_leader_row(false);
     }
-    const bool has_peers = this->members.size() > 1;
+    const bool has_peers = !this->probe_targets.empty();
     switch (this->election.tick(has_peers, now))
     {
     case batch::election_action::nothing:
         break;
     case batch::election_action::probe:
         events::write("lead_suspected", {{"epoch", this->epoch}, {"lead", this->leader_name}});
-        for (const auto& [name, address] : this->members)
+        for (const auto& [name, address] : this->probe_targets)
         {
-            if (name != this->values.name)
-            {
-                wire::envelope message;
-                message.mutable_lead_probe()->set_epoch(this->epoch);
-                this->send(address, std::move(message));
-            }
+            wire::envelope message;
+            message.mutable_lead_probe()->set_epoch(this->epoch);
+            this->send(address, std::move(message));
         }
         break;
     case batch::election_action::campaign:
@@ -449,25 +448,36 @@
                         });
 }
 
-void agent::read_members()
+void agent::read_probe_targets(const std::string& first_key)
 {
+    // One more than the sample, since the page may hold this agent's own row.
     this->store->read(
-        member_table, site_partition, {}, 0, store_timeout,
-        [this](const absl::StatusOr<ports::row_page>& page)
+        member_table, site_partition, first_key, batch::probe_sample_size + 1, store_timeout,
+        [this, first_key](const absl::StatusOr<ports::row_page>& page)
         {
             for (std::size_t index = 0; page.ok() && index < page->rows.size(); ++index)
             {
                 wire::batch_member member;
-                if (member.ParseFromString(page->rows[index].value) && !member.agent().empty())
+                if (member.ParseFromString(page->rows[index].value) && !member.agent().empty() &&
+                    member.agent() != this->values.name &&
+                    this->probe_targets.size() < batch::probe_sample_size)
                 {
-                    this->members[member.agent()] = member.address();
+                    this->probe_targets[member.agent()] = member.address();
                 }
             }
-            // Until a leader sends the member list, new members are read from the store.
-            if (this->members_version == 0 && !this->leaving)
+            // Until a leader sends the targets, new members are read from the store.
+            if (this->members_version != 0 || this->leaving)
             {
-                this->loop.run_after(member_read_interval, [this] { this->read_members(); });
+                return;
             }
+            const bool wrap_around = page.ok() && !first_key.empty() &&
+                                     this->probe_targets.size() < batch::probe_sample_size;
+            this->loop.run_after(wrap_around ? core::milliseconds{0} : member_read_interval,
+                                 [this, wrap_around]
+                                 {
+                                     this->read_probe_targets(
+                                         wrap_around ? std::string{} : this->values.name);
+                                 });
         });
 }
 
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -1,5 +1,6 @@
 #include "site/leader.hpp"
 
+#include "chicorylift/batch/probe_sample.hpp"
 #include "platform/http_codec.hpp"
 #include "site/config_row.hpp"
 #include "site/row_codec.hpp"
@@ -204,12 +205,7 @@
     state.acknowledged_runs.clear();
     if (state.known_members_version != this->members_version)
     {
-        for (const auto& [name, other] : this->agents)
-        {
-            wire::batch_member& member = *orders.add_members();
-            member.set_agent(name);
-            member.set_address(other.address);
-        }
+        this->add_probe_targets(agent, orders);
     }
     orders.set_members_version(this->members_version);
     orders.set_store_lost(this->store_health.unreachable);
@@ -218,6 +214,19 @@
     return message;
 }
 
+void leader::add_probe_targets(const std::string& agent, wire::batch_orders& orders) const
+{
+    const auto position = std::distance(this->agents.begin(), this->agents.find(agent));
+    for (const std::size_t index :
+         batch::probe_sample(this->agents.size(), static_cast<std::size_t>(position)))
+    {
+        const auto other = std::next(this->agents.begin(), static_cast<std::ptrdiff_t>(index));
+        wire::batch_member& member = *orders.add_members();
+        member.set_agent(other->first);
+        member.set_address(other->second.address);
+    }
+}
+
 void leader::reply(const std::string& agent, agent_state& state, std::uint64_t sequence)
 {
     wire::envelope message = this->build_orders(agent, state);
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -79,6 +79,8 @@
     /// Sends orders to the agents that have not reported for at least @p silent_for.
     void send_to_silent_agents(core::milliseconds silent_for);
     [[nodiscard]] wire::envelope build_orders(const std::string& agent, agent_state& state);
+    /// Adds the members that the agent asks before it campaigns.
+    void add_probe_targets(const std::string& agent, wire::batch_orders& orders) const;
     void write_progress();
     void on_progress_commit(const std::map<core::job_id, std::uint64_t>& changes,
                             const ports::commit_outcome& outcome);
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -1,7 +1,9 @@
+#include "chicorylift/batch/probe_sample.hpp"
 #include "chicorylift/batch/scheduler.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
 
 /// Decisions of a leader that takes over from another one, in virtual time.
 namespace
@@ -77,4 +79,31 @@
     CHECK(third.active_runs() == 1);
 }
 
+TEST_CASE("a member of a large fleet probes few others, spread over all of them")
+{
+    CHECK(probe_sample(1, 0).empty());
+    CHECK(probe_sample(3, 1) == std::vector<std::size_t>{2, 0});
+    for (const std::size_t members : {9U, 240U, 22'000U})
+    {
+        std::vector<int> probed_by(members);
+        for (std::size_t self = 0; self < members; ++self)
+        {
+            const std::vector<std::size_t> sample = probe_sample(members, self);
+            CHECK(sample.size() == probe_sample_size);
+            CHECK(std::set<std::size_t>(sample.begin(), sample.end()).size() == sample.size());
+            CHECK(std::count(sample.begin(), sample.end(), self) == 0);
+            for (const std::size_t other : sample)
+            {
+                ++probed_by[other];
+            }
+            // No gap between two probed members is wider than their share of the fleet.
+            const std::size_t first = (sample[0] + members - self) % members;
+            const std::size_t second = (sample[1] + members - self) % members;
+            CHECK(second - first <= members / probe_sample_size + 1);
+        }
+        CHECK(std::all_of(probed_by.begin(), probed_by.end(), [](int count)
+                          { return count == static_cast<int>(probe_sample_size); }));
+    }
+}
+
 } // namespace
