End leases by when the leader was last confirmed, not just answered

Cause, found by reading: a leader whose machine is cut off answers its own agent until its reads of the store have failed for 0.5 s, up to 2.6 s after the cut. A successor can take over 1.55 s after the cut and counts all leases as over 5.55 s later, but the old leader's own agent then holds a lease up to 0.6 s longer: its runs would overlap with their replacements. Likewise for a leader that most agents still follow while the store already has a later one.

Change: orders carry how long ago the leader was last confirmed, by a read of its row or by reports of most agents that repeat its clock; the agent's lease ends that much earlier. A new leader counts the leases of silent agents from when most agents had reported to it. The row is watched for 0.5 s at a time in place of 1.5 s: two reads a second by one process.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -250,6 +250,10 @@
     /// takeover from a leader that started units before their agents were persisted.
     void assume_runs_on_unreported_agents();
 
+    /// Sets the time from which the leases of agents that do not report are counted, if it is later
+    /// than the takeover; see takeover_guard::followed_since().
+    void count_leases_from(core::instant start);
+
     /// Applies an agent's report.
     void on_report(const worker_report& report, core::instant now);
     /// Records that a lease renewal was sent to an agent.
--- a/include/chicorylift/batch/takeover_guard.hpp
+++ b/include/chicorylift/batch/takeover_guard.hpp
@@ -3,6 +3,7 @@
 #include "chicorylift/batch/scheduler.hpp"
 
 #include <map>
+#include <optional>
 
 namespace chicorylift::batch
 {
@@ -30,7 +31,8 @@
     /// @param confirmed whether the agent has received this leader's announcement.
     /// @param earlier_unpersisted whether an earlier leader may have made unpersisted starts that
     /// no later leader has accounted for.
-    void on_report(const agent_id& agent, bool confirmed, bool earlier_unpersisted);
+    void on_report(const agent_id& agent, bool confirmed, bool earlier_unpersisted,
+                   core::instant now);
     /// Begins or ends the announcement of unpersisted starts; beginning one discards earlier
     /// confirmations.
     void announce_unpersisted_starts(bool unpersisted);
@@ -38,6 +40,13 @@
     /// @return whether this leader may place work: more than half of the agents have reported, or
     /// the lease timeout has passed since it became leader. Stays true once it is.
     [[nodiscard]] bool may_place(core::instant now) const;
+    /// @return when more than half of the agents had reported, or else when this member became
+    ///         leader. An earlier leader may have renewed leases on the word of most agents until
+    ///         then.
+    [[nodiscard]] core::instant followed_since() const noexcept
+    {
+        return this->followed_at.value_or(this->began);
+    }
     /// @return whether an earlier leader may have started work without a placement in the store.
     [[nodiscard]] bool predecessor_may_have_unpersisted_runs() const noexcept
     {
@@ -55,7 +64,10 @@
         bool confirmed = false;
     };
 
+    [[nodiscard]] bool has_majority() const;
+
     core::instant began;
+    std::optional<core::instant> followed_at;
     core::milliseconds lease_timeout;
     bool announcing = false;
     bool predecessor_unpersisted = false;
--- a/include/chicorylift/batch/worker_lease.hpp
+++ b/include/chicorylift/batch/worker_lease.hpp
@@ -11,8 +11,9 @@
 /// Lease up to which an agent may let its worker's runs continue.
 ///
 /// When the leader acknowledges a report, the lease is extended to its length after that report was
-/// sent. The leader receives the report later than that, so the lease has ended once its length has
-/// passed since the leader received the last report.
+/// sent, less the time since the leader was last confirmed. The leader receives the report later
+/// than that, so the lease has ended once its length has passed since the leader received the last
+/// report.
 class worker_lease
 {
 public:
@@ -22,7 +23,10 @@
     /// Records when a report was sent.
     void on_report_sent(std::uint64_t sequence, core::instant now);
     /// Extends the lease after the leader has acknowledged a report; ignores unknown reports.
-    void on_report_acknowledged(std::uint64_t sequence);
+    /// @param confirmed_age how long before its acknowledgement the leader last knew that no later
+    /// leader was in force. The lease ends that much earlier, so that it ends in time for a leader
+    /// that has taken over since; see leadership_confirmation.
+    void on_report_acknowledged(std::uint64_t sequence, core::milliseconds confirmed_age);
     /// Discards the worker's clock after a restart of the worker, which begins a new clock.
     void forget_clock() noexcept { this->clock = {}; }
     /// Records the worker's clock from a response.
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -14,7 +14,7 @@
 struct site_scheduler::implementation
 {
     implementation(scheduler_settings settings, core::instant takeover)
-        : settings(settings), takeover(takeover)
+        : settings(settings), takeover(takeover), leases_counted_from(takeover)
     {
     }
 
@@ -131,6 +131,8 @@
 
     scheduler_settings settings;
     core::instant takeover;
+    /// Leases of agents that have not reported are counted from here.
+    core::instant leases_counted_from;
     std::uint64_t next_run = 1;
     bool assume_unreported_runs = false;
     std::map<queue_id, queue_policy> queues;
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -84,7 +84,7 @@
 {
     for (auto& [id, worker] : this->workers)
     {
-        const core::instant since = std::max(worker.last_renewal_at, this->takeover);
+        const core::instant since = std::max(worker.last_renewal_at, this->leases_counted_from);
         if (!worker.lost && now - since > this->settings.lease_timeout)
         {
             this->mark_worker_lost(worker, "its lease has lapsed", now);
--- a/src/batch/worker_lease.cpp
+++ b/src/batch/worker_lease.cpp
@@ -21,12 +21,12 @@
     }
 }
 
-void worker_lease::on_report_acknowledged(std::uint64_t sequence)
+void worker_lease::on_report_acknowledged(std::uint64_t sequence, core::milliseconds confirmed_age)
 {
     const auto found = this->sent.find(sequence);
     if (found != this->sent.end())
     {
-        this->expiry = std::max(this->expiry, found->second + this->length);
+        this->expiry = std::max(this->expiry, found->second + this->length - confirmed_age);
         this->sent.erase(this->sent.begin(), std::next(found));
     }
 }
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -99,6 +99,9 @@
     std::uint64_t epoch{};
     std::string leader_address;
     std::string leader_name;
+    /// The leader's clock in its last orders; reports return it, which proves that this agent still
+    /// followed the leader at that time.
+    std::int64_t leader_clock_ms{};
     std::uint64_t report_sequence{};
     core::instant last_report{};
     bool report_scheduled = false;
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -65,6 +65,7 @@
                       {{"epoch", new_epoch}, {"before", this->epoch}, {"lead", name}});
         this->predecessor_unpersisted = this->predecessor_unpersisted || this->unwritten_starts;
         this->unwritten_starts = false;
+        this->leader_clock_ms = 0;
         // Run lists are valid only if they were read after the worker has seen the new epoch.
         this->snapshot_valid = false;
         if (this->own_leader != nullptr && this->own_leader->epoch() < new_epoch)
@@ -110,9 +111,11 @@
     }
     this->predecessor_unpersisted = this->predecessor_unpersisted && !orders.takeover_settled();
     this->unwritten_starts = orders.unwritten_starts();
+    this->leader_clock_ms = orders.lead_clock_ms();
     if (orders.reply_to() != 0)
     {
-        this->lease.on_report_acknowledged(orders.reply_to());
+        this->lease.on_report_acknowledged(orders.reply_to(),
+                                           core::milliseconds{orders.confirmed_age_ms()});
     }
     if (orders.members_size() > 0)
     {
@@ -276,6 +279,7 @@
     report.set_earlier_unwritten_starts(this->predecessor_unpersisted);
     report.set_members_version(this->members_version);
     report.set_leaving(this->leaving);
+    report.set_lead_clock_ms(this->leader_clock_ms);
     this->lease.on_report_sent(this->report_sequence, now);
     this->last_report = now;
     this->send(this->leader_address, std::move(message));
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -26,7 +26,8 @@
 constexpr core::milliseconds config_wait{3000};
 // A silent store is detected only when a watch times out, so this wait is short.
 constexpr core::milliseconds job_wait{1000};
-constexpr core::milliseconds leader_wait{1500};
+// Leases end the earlier the longer ago the leader's row was confirmed.
+constexpr core::milliseconds leader_wait{500};
 constexpr core::milliseconds member_wait{8000};
 constexpr core::milliseconds write_timeout{800};
 // Agents that have not reported for this long are sent a message, so that a restarted agent finds
@@ -95,7 +96,8 @@
     this->leader_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
         mirror_settings{leader_table, site_partition, leader_wait},
-        [this](const ports::row& row) { this->on_leader_row(row); }, [] {});
+        [this](const ports::row& row) { this->on_leader_row(row); },
+        [this] { this->confirmation.on_store_confirmed(this->leader_rows->confirmed_at()); });
     const std::weak_ptr<bool> alive = this->lifetime_token;
     this->context.loop.run_after(tick_interval,
                                  [this, alive]
@@ -162,7 +164,12 @@
         }
     }
     this->guard.on_report(batch::agent_id(report.agent()), report.unwritten_starts(),
-                          report.earlier_unwritten_starts());
+                          report.earlier_unwritten_starts(), now);
+    if (report.epoch() == this->my_epoch && report.lead_clock_ms() > 0)
+    {
+        this->confirmation.on_report(batch::agent_id(report.agent()),
+                                     core::instant_at(core::milliseconds{report.lead_clock_ms()}));
+    }
     if (this->guard.predecessor_may_have_unpersisted_runs())
     {
         this->scheduler.assume_runs_on_unreported_agents();
@@ -190,6 +197,12 @@
     wire::batch_orders& orders = *message.mutable_unit_orders();
     orders.set_epoch(this->my_epoch);
     orders.set_lead(this->context.values.name);
+    const core::instant now = core::boot_clock::now();
+    orders.set_lead_clock_ms(now.time_since_epoch().count());
+    const core::milliseconds age =
+        std::clamp<core::milliseconds>(now - this->confirmation.confirmed_at(),
+                                       core::milliseconds{0}, lease_duration(this->context.values));
+    orders.set_confirmed_age_ms(static_cast<std::uint32_t>(age.count()));
     if (this->loaded)
     {
         const auto [born, number] = this->scheduler.acknowledged_end(batch::agent_id(agent));
@@ -210,7 +223,7 @@
     orders.set_members_version(this->members_version);
     orders.set_store_lost(this->store_health.unreachable);
     orders.set_unwritten_starts(this->guard.is_announcing());
-    orders.set_takeover_settled(this->guard.may_place(core::boot_clock::now()));
+    orders.set_takeover_settled(this->guard.may_place(now));
     return message;
 }
 
@@ -280,6 +293,7 @@
     {
         return;
     }
+    this->scheduler.count_leases_from(this->guard.followed_since());
     const auto pass_start = std::chrono::steady_clock::now();
     const bool unwritten = this->store_health.not_writable && this->guard.may_start_unpersisted();
     const std::vector<batch::agent_command> orders =
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chicorylift/batch/leadership_confirmation.hpp"
 #include "chicorylift/batch/scheduler.hpp"
 #include "chicorylift/batch/site_config.hpp"
 #include "chicorylift/batch/store_health.hpp"
@@ -109,6 +110,7 @@
     bool pass_scheduled = false;
     bool write_in_flight = false;
     batch::takeover_guard guard;
+    batch::leadership_confirmation confirmation;
     bool leadership_verified = true;
     bool verification_in_flight = false;
     batch::store_health store_health;
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -42,6 +42,7 @@
     }
     this->scheduler.add_agent(batch::agent_id(member.agent()));
     this->guard.add_agent(batch::agent_id(member.agent()));
+    this->confirmation.add_agent(batch::agent_id(member.agent()));
 }
 
 void leader::on_config_row(const ports::row& row)
@@ -169,7 +170,7 @@
     if (this->write_in_flight || jobs.empty())
     {
         if (jobs.empty() && !this->store_health.not_writable &&
-            now - this->began > lease_timeout(this->context.values))
+            now - this->guard.followed_since() > lease_timeout(this->context.values))
         {
             this->guard.announce_unpersisted_starts(false);
         }
@@ -314,6 +315,7 @@
         const batch::agent_id agent(each->first);
         changes.removals.push_back(member_row_id(agent));
         this->guard.remove_agent(agent);
+        this->confirmation.remove_agent(agent);
         ++this->members_version;
         each = this->agents.erase(each);
     }
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -1,9 +1,13 @@
+#include "chicorylift/batch/leadership_confirmation.hpp"
 #include "chicorylift/batch/probe_sample.hpp"
 #include "chicorylift/batch/scheduler.hpp"
+#include "chicorylift/batch/takeover_guard.hpp"
+#include "chicorylift/batch/worker_lease.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <set>
+#include <string>
 
 /// Decisions of a leader that takes over from another one, in virtual time.
 namespace
@@ -101,9 +105,88 @@
             const std::size_t second = (sample[1] + members - self) % members;
             CHECK(second - first <= members / probe_sample_size + 1);
         }
-        CHECK(std::all_of(probed_by.begin(), probed_by.end(), [](int count)
-                          { return count == static_cast<int>(probe_sample_size); }));
+        CHECK(std::all_of(probed_by.begin(), probed_by.end(),
+                          [](int count) { return count == static_cast<int>(probe_sample_size); }));
     }
 }
 
+// A leader that is cut off from the store and from all agents but its own keeps answering its own
+// agent. A later leader counts that agent's runs as ended one lease timeout after it took over.
+TEST_CASE("a leader that is cut off renews no lease beyond what its successor waits for")
+{
+    const milliseconds lease_length{5100};
+    const milliseconds lease_timeout{5552};
+    leadership_confirmation confirmation;
+    worker_lease lease(lease_length);
+    for (const char* const name : {"own", "a", "b", "c"})
+    {
+        confirmation.add_agent(agent_id(name));
+    }
+    const auto exchange = [&](const char* name, std::uint64_t sequence, milliseconds at)
+    {
+        confirmation.on_report(agent_id(name), instant_at(at - milliseconds{600}));
+        if (std::string(name) == "own")
+        {
+            lease.on_report_sent(sequence, instant_at(at));
+            lease.on_report_acknowledged(sequence, instant_at(at) - confirmation.confirmed_at());
+        }
+    };
+    for (const char* const name : {"a", "b", "c", "own"})
+    {
+        exchange(name, 1, milliseconds{10'000});
+    }
+    confirmation.on_store_confirmed(instant_at(milliseconds{9900}));
+    // The cut begins. The successor takes over at 11.6 s; the old leader notices at 12.6 s.
+    const core::instant takeover = instant_at(milliseconds{11'600});
+    std::uint64_t sequence = 2;
+    for (milliseconds at{10'600}; at <= milliseconds{12'600}; at += milliseconds{600})
+    {
+        exchange("own", sequence++, at);
+    }
+    CHECK(lease.expires_at() <= takeover + lease_timeout);
+    CHECK(lease.expires_at() == instant_at(milliseconds{9900}) + lease_length);
+}
+
+TEST_CASE("a report that was delayed on its way does not confirm a leader")
+{
+    leadership_confirmation confirmation;
+    confirmation.add_agent(agent_id("a"));
+    confirmation.add_agent(agent_id("b"));
+    confirmation.add_agent(agent_id("c"));
+    confirmation.on_report(agent_id("a"), instant_at(milliseconds{1000}));
+    CHECK(confirmation.confirmed_at() == core::instant{});
+    // Arrives seconds later; the agent had received orders of 1.2 s when it sent the report.
+    confirmation.on_report(agent_id("b"), instant_at(milliseconds{1200}));
+    CHECK(confirmation.confirmed_at() == instant_at(milliseconds{1000}));
+}
+
+TEST_CASE("a new leader counts leases from when most agents followed it")
+{
+    takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5552});
+    for (const char* const name : {"a", "b", "c"})
+    {
+        guard.add_agent(agent_id(name));
+    }
+    CHECK(guard.followed_since() == instant_at(milliseconds{0}));
+    guard.on_report(agent_id("a"), false, false, instant_at(milliseconds{100}));
+    guard.on_report(agent_id("b"), false, false, instant_at(milliseconds{900}));
+    guard.on_report(agent_id("c"), false, false, instant_at(milliseconds{3000}));
+    CHECK(guard.followed_since() == instant_at(milliseconds{900}));
+
+    site_scheduler scheduler(settings_of_epoch(2), instant_at(milliseconds{10'000}));
+    job_progress progress;
+    progress.agents = {agent_id("silent")};
+    scheduler.add_job(one_unit_job(), progress, false, instant_at(milliseconds{10'000}));
+    scheduler.count_leases_from(instant_at(milliseconds{11'000}));
+    const auto placed_at = [&scheduler](milliseconds at)
+    {
+        scheduler.on_report(report_of("near"), instant_at(at));
+        scheduler.on_renewal_sent(agent_id("near"), instant_at(at));
+        return !scheduler.schedule(instant_at(at), {}, true).empty();
+    };
+    // The default lease timeout is 6.2 s.
+    CHECK(!placed_at(milliseconds{17'100}));
+    CHECK(placed_at(milliseconds{17'300}));
+}
+
 } // namespace
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -129,11 +129,11 @@
     CHECK(lease.expiry_on_worker_clock(instant_at(milliseconds{1000})).count() == 0);
     lease.on_report_sent(1, instant_at(milliseconds{1000}));
     lease.on_report_sent(2, instant_at(milliseconds{1600}));
-    lease.on_report_acknowledged(1);
+    lease.on_report_acknowledged(1, milliseconds{0});
     CHECK(lease.expires_at() == instant_at(milliseconds{6000}));
     // A second acknowledgement, or one for a report that was never sent, changes nothing.
-    lease.on_report_acknowledged(1);
-    lease.on_report_acknowledged(7);
+    lease.on_report_acknowledged(1, milliseconds{0});
+    lease.on_report_acknowledged(7, milliseconds{0});
     CHECK(lease.expires_at() == instant_at(milliseconds{6000}));
     CHECK(lease.expiry_on_worker_clock(instant_at(milliseconds{2000})) == milliseconds{105'000});
     CHECK(lease.expiry_on_worker_clock(instant_at(milliseconds{6000})).count() == 0);
@@ -421,10 +421,10 @@
     {
         guard.add_agent(agent_id(name));
     }
-    guard.on_report(agent_id("a"), false, false);
-    guard.on_report(agent_id("b"), false, false);
+    guard.on_report(agent_id("a"), false, false, instant_at(milliseconds{50}));
+    guard.on_report(agent_id("b"), false, false, instant_at(milliseconds{50}));
     CHECK(!guard.may_place(instant_at(milliseconds{100})));
-    guard.on_report(agent_id("c"), false, true);
+    guard.on_report(agent_id("c"), false, true, instant_at(milliseconds{50}));
     CHECK(guard.may_place(instant_at(milliseconds{100})));
     CHECK(guard.predecessor_may_have_unpersisted_runs());
     // The new leader repeats the announcement until it has accounted for these runs.
@@ -433,7 +433,7 @@
     takeover_guard half_reporting(instant_at(milliseconds{0}), lease_timeout);
     half_reporting.add_agent(agent_id("a"));
     half_reporting.add_agent(agent_id("b"));
-    half_reporting.on_report(agent_id("a"), false, false);
+    half_reporting.on_report(agent_id("a"), false, false, instant_at(milliseconds{50}));
     CHECK(!half_reporting.may_place(instant_at(milliseconds{5400})));
     CHECK(half_reporting.may_place(instant_at(milliseconds{5600})));
 }
@@ -444,13 +444,13 @@
     for (const char* const name : {"a", "b", "c"})
     {
         guard.add_agent(agent_id(name));
-        guard.on_report(agent_id(name), false, false);
+        guard.on_report(agent_id(name), false, false, instant_at(milliseconds{50}));
     }
     CHECK(!guard.may_start_unpersisted());
     guard.announce_unpersisted_starts(true);
-    guard.on_report(agent_id("a"), true, false);
+    guard.on_report(agent_id("a"), true, false, instant_at(milliseconds{50}));
     CHECK(!guard.may_start_unpersisted());
-    guard.on_report(agent_id("b"), true, false);
+    guard.on_report(agent_id("b"), true, false, instant_at(milliseconds{50}));
     CHECK(guard.may_start_unpersisted());
     guard.announce_unpersisted_starts(false);
     CHECK(!guard.may_start_unpersisted());
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -492,7 +492,7 @@
                 }
                 batch::worker_report taken = report;
                 taken.lists_valid = taken.lists_valid && epoch == this->epoch;
-                this->guard->on_report(report.agent, knows, earlier);
+                this->guard->on_report(report.agent, knows, earlier, this->now);
                 if (this->shape.guarded_takeover &&
                     this->guard->predecessor_may_have_unpersisted_runs())
                 {
@@ -537,7 +537,8 @@
             return;
         }
         this->follow(index, epoch);
-        worker.lease.on_report_acknowledged(sequence);
+        // The virtual leader does not outlive its epoch, so that it is always confirmed.
+        worker.lease.on_report_acknowledged(sequence, core::milliseconds{0});
         for (const auto& key : settled)
         {
             worker.table->on_not_started_acknowledged(key);
