Pace reports by fleet size, join answers, and refuse integers out of range

Change 1: reports come each 600 ms up to 180 agents, then at 300 a second for the fleet, at most 1.4 s apart; changes within agents/8 ms (5 to 40) share a report, and answers go with the next orders or together after as long. The event loop and the transport are woken once for all that waits. The election timeout follows the interval (1.3 s at 600 ms, as before).

Cause 2, a malformed request: an integer above 2^63 in an array threw out of the parser and ended the entry.

Also: report sequences start at the boot clock, so that an answer to an earlier process of an agent matches none of the new one's reports.

Conclusion: messages, not decisions, are what a leader spends its time on.

--- a/include/chicorylift/batch/election.hpp
+++ b/include/chicorylift/batch/election.hpp
@@ -60,6 +60,11 @@
     /// Updates the lowest store latency. Members with a low latency campaign first, since a leader
     /// waits for the store before each start on a worker that is new to a job.
     void on_store_round_trip(core::milliseconds round_trip) noexcept;
+    /// Sets the time without a heartbeat after which the leader is suspected.
+    void set_election_timeout(core::milliseconds timeout) noexcept
+    {
+        this->settings.election_timeout = timeout;
+    }
     /// Handles a heartbeat from the leader of the newest known epoch.
     void on_leader_heartbeat(core::instant now);
     /// Handles a heartbeat in which the leader reports that it cannot reach the store. A member
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -71,12 +71,18 @@
 
 void event_loop::post(task work)
 {
+    bool was_empty = false;
     {
         const std::lock_guard lock(this->guard);
+        was_empty = this->posted.empty();
         this->posted.push_back(std::move(work));
     }
-    const std::uint64_t one = 1;
-    static_cast<void>(::write(this->wake_fd, &one, sizeof one));
+    // The loop drains wake_fd before it takes the tasks, so one wake-up covers all that wait.
+    if (was_empty)
+    {
+        const std::uint64_t one = 1;
+        static_cast<void>(::write(this->wake_fd, &one, sizeof one));
+    }
 }
 
 void event_loop::watch(int descriptor, std::uint32_t events, readiness_handler on_ready)
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -121,8 +121,11 @@
     {
         return false;
     }
-    const std::uint64_t one = 1;
-    static_cast<void>(::write(this->wake_fd, &one, sizeof one));
+    if (!this->wake_pending.exchange(true))
+    {
+        const std::uint64_t one = 1;
+        static_cast<void>(::write(this->wake_fd, &one, sizeof one));
+    }
     return true;
 }
 
@@ -225,6 +228,8 @@
         if ((items[1].revents & ZMQ_POLLIN) != 0)
         {
             drain_eventfd(this->wake_fd);
+            // Cleared before the queue is emptied: a message that is queued later wakes again.
+            this->wake_pending = false;
         }
         receive_batch();
         accept_outgoing(now);
--- a/src/net/transport.hpp
+++ b/src/net/transport.hpp
@@ -77,6 +77,8 @@
     undeliverable_callback on_undeliverable;
     core::bounded_queue<outgoing> send_queue;
     int wake_fd;
+    /// A wake-up through wake_fd has not been handled yet.
+    std::atomic<bool> wake_pending = false;
     std::atomic<bool> stopping = false;
     std::atomic<std::uint64_t> messages_sent = 0;
     std::atomic<std::uint64_t> messages_received = 0;
--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -38,6 +38,8 @@
       lease(lease_duration(this->values)), liveness(core::boot_clock::now()),
       election(election_settings_for(this->values.name), core::boot_clock::now())
 {
+    this->report_sequence =
+        static_cast<std::uint64_t>(core::boot_clock::now().time_since_epoch().count());
     net::async_server_limits limits;
     limits.max_connections = 64;
     limits.max_body_bytes = 4U << 20U;
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chicorylift/batch/election.hpp"
+#include "chicorylift/batch/report_pacing.hpp"
 #include "chicorylift/batch/run_table.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 #include "chicorylift/batch/worker_liveness.hpp"
@@ -102,9 +103,13 @@
     /// The leader's clock in its last orders; reports return it, which proves that this agent still
     /// followed the leader at that time.
     std::int64_t leader_clock_ms{};
+    /// Starts at the boot clock, so that an answer to an earlier process of this agent matches none
+    /// of this one's reports.
     std::uint64_t report_sequence{};
     core::instant last_report{};
     bool report_scheduled = false;
+    /// Pace of reports for the fleet size that the leader stated.
+    batch::report_pacing pacing;
     bool unwritten_starts = false;
     bool predecessor_unpersisted = false;
     bool store_reachable = false;
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -13,10 +13,6 @@
 
 namespace events = support::events;
 
-// Every acknowledged report renews the lease; two may be lost before the leader is suspected.
-constexpr core::milliseconds report_interval{600};
-// Changes within this time are sent in one report.
-constexpr core::milliseconds report_delay{5};
 constexpr core::milliseconds store_timeout{800};
 constexpr core::milliseconds leader_read_interval{400};
 constexpr core::milliseconds member_read_interval{1500};
@@ -112,6 +108,8 @@
     this->predecessor_unpersisted = this->predecessor_unpersisted && !orders.takeover_settled();
     this->unwritten_starts = orders.unwritten_starts();
     this->leader_clock_ms = orders.lead_clock_ms();
+    this->pacing = batch::pacing_for(orders.agents());
+    this->election.set_election_timeout(this->pacing.election_timeout);
     if (orders.reply_to() != 0)
     {
         this->lease.on_report_acknowledged(orders.reply_to(),
@@ -182,7 +180,7 @@
         this->poll_worker_now();
         this->report_soon();
     }
-    if (orders.reply_to() == 0 && now - this->last_report > report_interval)
+    if (orders.reply_to() == 0 && now - this->last_report > this->pacing.interval)
     {
         this->report_soon();
     }
@@ -245,7 +243,7 @@
         return;
     }
     this->report_scheduled = true;
-    this->loop.run_after(report_delay,
+    this->loop.run_after(this->pacing.report_delay,
                          [this]
                          {
                              this->report_scheduled = false;
@@ -488,7 +486,7 @@
     const core::instant now = core::boot_clock::now();
     this->retry_due_commands();
     this->run_election();
-    if (!this->leader_address.empty() && now - this->last_report >= report_interval)
+    if (!this->leader_address.empty() && now - this->last_report >= this->pacing.interval)
     {
         this->send_report();
     }
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -1,6 +1,7 @@
 #include "site/leader.hpp"
 
 #include "chicorylift/batch/probe_sample.hpp"
+#include "chicorylift/batch/report_pacing.hpp"
 #include "platform/http_codec.hpp"
 #include "site/config_row.hpp"
 #include "site/row_codec.hpp"
@@ -8,6 +9,7 @@
 #include "support/unix_clock.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorylift::site
 {
@@ -32,8 +34,10 @@
 constexpr core::milliseconds write_timeout{800};
 // Agents that have not reported for this long are sent a message, so that a restarted agent finds
 // its leader.
-constexpr core::milliseconds silence_threshold{900};
-constexpr core::milliseconds quorum_window{1500};
+constexpr core::milliseconds silence_margin{300};
+// Two reports may be lost, and the third be under way.
+constexpr std::int64_t quorum_window_reports = 5;
+constexpr std::int64_t quorum_window_divisor = 2;
 // After a longer pause of this process, another leader may have been elected.
 constexpr core::milliseconds pause_threshold{1000};
 // Reports that arrive within this time after a pause may have been sent before it.
@@ -185,10 +189,8 @@
     {
         state.acknowledged_runs.clear();
     }
-    if (this->may_issue_orders())
-    {
-        this->reply(report.agent(), state, report.sequence());
-    }
+    state.unanswered_report = report.sequence();
+    this->schedule_answers();
 }
 
 wire::envelope leader::build_orders(const std::string& agent, agent_state& state)
@@ -203,6 +205,7 @@
         std::clamp<core::milliseconds>(now - this->confirmation.confirmed_at(),
                                        core::milliseconds{0}, lease_duration(this->context.values));
     orders.set_confirmed_age_ms(static_cast<std::uint32_t>(age.count()));
+    orders.set_agents(static_cast<std::uint32_t>(this->agents.size()));
     if (this->loaded)
     {
         const auto [born, number] = this->scheduler.acknowledged_end(batch::agent_id(agent));
@@ -240,12 +243,50 @@
     }
 }
 
-void leader::reply(const std::string& agent, agent_state& state, std::uint64_t sequence)
+void leader::add_answer(const std::string& agent, agent_state& state, wire::batch_orders& orders)
+{
+    if (state.unanswered_report != 0)
+    {
+        orders.set_reply_to(std::exchange(state.unanswered_report, 0));
+        this->scheduler.on_renewal_sent(batch::agent_id(agent), core::boot_clock::now());
+    }
+}
+
+void leader::schedule_answers()
+{
+    if (this->answers_scheduled)
+    {
+        return;
+    }
+    this->answers_scheduled = true;
+    const std::weak_ptr<bool> alive = this->lifetime_token;
+    this->context.loop.run_after(batch::pacing_for(this->agents.size()).reply_delay,
+                                 [this, alive]
+                                 {
+                                     if (!alive.expired())
+                                     {
+                                         this->answers_scheduled = false;
+                                         this->send_answers();
+                                     }
+                                 });
+}
+
+void leader::send_answers()
 {
-    wire::envelope message = this->build_orders(agent, state);
-    message.mutable_unit_orders()->set_reply_to(sequence);
-    this->scheduler.on_renewal_sent(batch::agent_id(agent), core::boot_clock::now());
-    this->context.send(state.address, std::move(message));
+    this->detect_process_pause();
+    if (!this->may_issue_orders())
+    {
+        return;
+    }
+    for (auto& [name, state] : this->agents)
+    {
+        if (state.unanswered_report != 0)
+        {
+            wire::envelope message = this->build_orders(name, state);
+            this->add_answer(name, state, *message.mutable_unit_orders());
+            this->context.send(state.address, std::move(message));
+        }
+    }
 }
 
 void leader::send_to_silent_agents(core::milliseconds silent_for)
@@ -359,7 +400,9 @@
     }
     for (auto& [agent, message] : messages)
     {
-        this->context.send(this->agents[agent].address, std::move(message));
+        agent_state& state = this->agents[agent];
+        this->add_answer(agent, state, *message.mutable_unit_orders());
+        this->context.send(state.address, std::move(message));
     }
 }
 
@@ -392,7 +435,7 @@
         // Sent to all agents at once, so that none campaigns because of a missing heartbeat.
         this->send_to_silent_agents(core::milliseconds{0});
     }
-    this->send_to_silent_agents(silence_threshold);
+    this->send_to_silent_agents(batch::pacing_for(this->agents.size()).interval + silence_margin);
     if (!this->leadership_verified && now - this->resumed_at > verification_timeout &&
         this->has_quorum(now))
     {
@@ -469,6 +512,8 @@
 
 bool leader::has_quorum(core::instant now) const
 {
+    const core::milliseconds quorum_window = batch::pacing_for(this->agents.size()).interval *
+                                             quorum_window_reports / quorum_window_divisor;
     std::size_t responsive = 0;
     for (const auto& [name, state] : this->agents)
     {
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -60,6 +60,8 @@
         std::string address;
         core::instant last_heard{};
         std::uint64_t known_members_version{};
+        /// Sequence of the latest report without an answer; 0 when there is none.
+        std::uint64_t unanswered_report{};
         /// Runs reported as ended without a start; acknowledged with the next orders.
         std::vector<std::pair<std::string, std::uint64_t>> acknowledged_runs;
     };
@@ -76,7 +78,10 @@
     void detect_process_pause();
     void verify_leadership();
     void send_orders(const std::vector<batch::agent_command>& orders);
-    void reply(const std::string& agent, agent_state& state, std::uint64_t sequence);
+    /// Adds the answer to the agent's latest report, if it is still due.
+    void add_answer(const std::string& agent, agent_state& state, wire::batch_orders& orders);
+    void schedule_answers();
+    void send_answers();
     /// Sends orders to the agents that have not reported for at least @p silent_for.
     void send_to_silent_agents(core::milliseconds silent_for);
     [[nodiscard]] wire::envelope build_orders(const std::string& agent, agent_state& state);
@@ -108,6 +113,7 @@
     bool loaded = false;
     bool stepped_down = false;
     bool pass_scheduled = false;
+    bool answers_scheduled = false;
     bool write_in_flight = false;
     batch::takeover_guard guard;
     batch::leadership_confirmation confirmation;
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -1,5 +1,6 @@
 #include "chicorylift/batch/leadership_confirmation.hpp"
 #include "chicorylift/batch/probe_sample.hpp"
+#include "chicorylift/batch/report_pacing.hpp"
 #include "chicorylift/batch/scheduler.hpp"
 #include "chicorylift/batch/takeover_guard.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
@@ -189,4 +190,23 @@
     CHECK(placed_at(milliseconds{17'300}));
 }
 
+TEST_CASE("periodic reports to one leader stay below its capacity, and small fleets report often")
+{
+    constexpr std::size_t milliseconds_per_second = 1000;
+    CHECK(pacing_for(0).interval == milliseconds{600});
+    CHECK(pacing_for(60).interval == milliseconds{600});
+    CHECK(pacing_for(60).report_delay <= milliseconds{10});
+    for (const std::size_t agents : {11U, 60U, 240U, 340U, 400U})
+    {
+        const report_pacing pacing = pacing_for(agents);
+        const auto interval = static_cast<std::size_t>(pacing.interval.count());
+        CHECK(agents * milliseconds_per_second / interval <= 301);
+        // One lost report or answer must not look like a lost leader.
+        CHECK(pacing.election_timeout > pacing.interval + pacing.report_delay + pacing.reply_delay);
+    }
+    // Three reports within the shortest lease of 5.1 s, whatever the fleet's size.
+    CHECK(pacing_for(22'000).interval * 3 < milliseconds{5100});
+    CHECK(pacing_for(22'000).report_delay <= milliseconds{40});
+}
+
 } // namespace
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -451,6 +451,13 @@
           400);
     CHECK(site.call(0, "POST", job_name(1), R"({"spec":"1","steps":[{"after":[3]}]})").status ==
           400);
+    // Beyond the range of a signed integer.
+    CHECK(site.call(0, "POST", job_name(1),
+                    R"({"spec":"1","steps":[{"after":[18446744073709551615]}]})")
+              .status == 400);
+    CHECK(site.call(0, "POST", job_name(1),
+                    R"({"spec":"1","steps":[{"count":18446744073709551615}]})")
+              .status == 400);
     CHECK(site.call(0, "POST", job_name(1), std::string(300000, ' ')).status == 413);
     CHECK(site.call(0, "PUT", job_name(1)).status == 405);
     CHECK(site.call(0, "GET", "not-a-job").status == 404);
