Start and complete jobs without waiting for the next scheduling pass

Cause: at 240 agents a pass rests four times its length. A start whose agents were written waited for the next pass, and so did the write of a completed job.

Change: due commands go out with the answer of the write they waited for, and unwritten completions with the answers to reports.

Tests: batch_takeover_test 8, batch_test 31, batch_site_test 17, site_test 18 pass.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -267,6 +267,11 @@
     [[nodiscard]] std::vector<agent_command> schedule(core::instant now, unix_time wall_time,
                                                       bool allow_unpersisted_starts);
 
+    /// Returns the commands that are due without placing further units: those of runs whose agents
+    /// have been persisted since the last pass. Much cheaper than schedule().
+    [[nodiscard]] std::vector<agent_command> due_commands(core::instant now,
+                                                          bool allow_unpersisted_starts);
+
     /// @return version of a job's latest unpersisted change; 0 when all changes are persisted.
     [[nodiscard]] std::uint64_t unpersisted_version(const core::job_id& job) const;
     /// @return jobs with unpersisted changes, urgent writes first; see is_write_urgent().
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -240,6 +240,14 @@
     return this->inner->schedule(now, wall_time, allow_unpersisted_starts);
 }
 
+std::vector<agent_command> site_scheduler::due_commands(core::instant now,
+                                                        bool allow_unpersisted_starts)
+{
+    std::vector<agent_command> commands;
+    this->inner->issue_commands(commands, now, allow_unpersisted_starts);
+    return commands;
+}
+
 std::uint64_t site_scheduler::unpersisted_version(const core::job_id& job) const
 {
     const auto found = this->inner->jobs.find(job);
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -287,6 +287,11 @@
             this->context.send(state.address, std::move(message));
         }
     }
+    if (this->may_schedule())
+    {
+        // A completed job does not wait for the next pass, which follows a rest.
+        this->write_progress();
+    }
 }
 
 void leader::send_to_silent_agents(core::milliseconds silent_for)
@@ -329,16 +334,14 @@
 {
     this->detect_process_pause();
     const core::instant now = core::boot_clock::now();
-    if (this->stepped_down || !this->loaded || !this->may_issue_orders() ||
-        !this->guard.may_place(now))
+    if (!this->may_schedule())
     {
         return;
     }
     this->scheduler.count_leases_from(this->guard.followed_since());
     const auto pass_start = std::chrono::steady_clock::now();
-    const bool unwritten = this->store_health.not_writable && this->guard.may_start_unpersisted();
     const std::vector<batch::agent_command> orders =
-        this->scheduler.schedule(now, support::unix_now(), unwritten);
+        this->scheduler.schedule(now, support::unix_now(), this->may_start_unpersisted());
     this->log_records();
     this->send_orders(orders);
     this->write_progress();
@@ -532,6 +535,17 @@
     return !this->store_health.not_writable || this->has_quorum(core::boot_clock::now());
 }
 
+bool leader::may_schedule() const
+{
+    return !this->stepped_down && this->loaded && this->may_issue_orders() &&
+           this->guard.may_place(core::boot_clock::now());
+}
+
+bool leader::may_start_unpersisted() const
+{
+    return this->store_health.not_writable && this->guard.may_start_unpersisted();
+}
+
 void leader::resign()
 {
     for (auto& [name, state] : this->agents)
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -97,6 +97,10 @@
     void log_records();
     void step_down(const std::string& reason);
     [[nodiscard]] bool may_issue_orders() const;
+    /// @return whether this leader may start and stop runs now.
+    [[nodiscard]] bool may_schedule() const;
+    /// @return whether runs may start before their agents are persisted.
+    [[nodiscard]] bool may_start_unpersisted() const;
     [[nodiscard]] bool has_quorum(core::instant now) const;
 
     leader_context context;
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -246,6 +246,12 @@
         events::write("order_lost", {{"to", "store"}, {"reason", outcome.message}});
         break;
     }
+    this->detect_process_pause();
+    if (this->may_schedule())
+    {
+        // Starts that waited for this write do not wait for the next pass too.
+        this->send_orders(this->scheduler.due_commands(now, this->may_start_unpersisted()));
+    }
     this->schedule_pass();
 }
 
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -209,4 +209,48 @@
     CHECK(pacing_for(22'000).report_delay <= milliseconds{40});
 }
 
+TEST_CASE("a start whose agent has been persisted does not wait for the next scheduling pass")
+{
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'000}));
+    scheduler.on_report(report_of("a"), instant_at(milliseconds{10'010}));
+    scheduler.on_renewal_sent(agent_id("a"), instant_at(milliseconds{10'010}));
+    CHECK(scheduler.schedule(instant_at(milliseconds{10'020}), {}, false).empty());
+    CHECK(scheduler.due_commands(instant_at(milliseconds{10'030}), false).empty());
+    const core::job_id job("j");
+    scheduler.on_persisted(job, scheduler.unpersisted_version(job));
+    const auto commands = scheduler.due_commands(instant_at(milliseconds{10'040}), false);
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().what == agent_command::action::start);
+    // The command is not repeated before it is due again.
+    CHECK(scheduler.due_commands(instant_at(milliseconds{10'050}), false).empty());
+}
+
+// An agent that restarts does not know its worker's state until the worker registers again.
+TEST_CASE("a worker that was leaving gets no new units after its agent or the leader restarts")
+{
+    const auto starts_a_unit =
+        [](site_scheduler& scheduler, const worker_report& report, milliseconds at)
+    {
+        scheduler.on_report(report, instant_at(at));
+        scheduler.on_renewal_sent(report.agent, instant_at(at));
+        return !scheduler.schedule(instant_at(at), {}, true).empty();
+    };
+    worker_report leaving = report_of("a");
+    leaving.worker.draining = true;
+    worker_report after_restart = report_of("a");
+    after_restart.worker = {};
+    after_restart.worker.started_at = unix_time{1};
+
+    site_scheduler same_leader(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    same_leader.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'000}));
+    CHECK(!starts_a_unit(same_leader, leaving, milliseconds{10'010}));
+    CHECK(!starts_a_unit(same_leader, after_restart, milliseconds{11'000}));
+
+    site_scheduler next_leader(settings_of_epoch(2), instant_at(milliseconds{12'000}));
+    next_leader.add_job(one_unit_job(), {}, false, instant_at(milliseconds{12'000}));
+    CHECK(!starts_a_unit(next_leader, after_restart, milliseconds{12'010}));
+    CHECK(!starts_a_unit(next_leader, leaving, milliseconds{13'000}));
+}
+
 } // namespace
