--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -32,12 +32,12 @@
 constexpr core::milliseconds leader_wait{500};
 constexpr core::milliseconds member_wait{8000};
 constexpr core::milliseconds write_timeout{800};
-// Agents that have not reported for this long are sent a message, so that a restarted agent finds
+// Agents whose report is overdue by this time are sent a message, so that a restarted agent finds
 // its leader.
 constexpr core::milliseconds silence_margin{300};
-// Two reports may be lost, and the third be under way.
-constexpr std::int64_t quorum_window_reports = 5;
-constexpr std::int64_t quorum_window_divisor = 2;
+// An agent counts towards a quorum for two and a half report intervals.
+constexpr std::int64_t quorum_window_numerator = 5;
+constexpr std::int64_t quorum_window_denominator = 2;
 // After a longer pause of this process, another leader may have been elected.
 constexpr core::milliseconds pause_threshold{1000};
 // Reports that arrive within this time after a pause may have been sent before it.
@@ -516,7 +516,7 @@
 bool leader::has_quorum(core::instant now) const
 {
     const core::milliseconds quorum_window = batch::pacing_for(this->agents.size()).interval *
-                                             quorum_window_reports / quorum_window_divisor;
+                                             quorum_window_numerator / quorum_window_denominator;
     std::size_t responsive = 0;
     for (const auto& [name, state] : this->agents)
     {
