Give the silent-store test a payload that its worker can run

The job's payload was 'run 100', and the stand-in worker reads a payload as a duration: it throws as soon as the job starts. The test used to end before that.

Ruled out: the daemon.

Change: the payload is '100', and the test also waits for the accepted job to complete, which is stricter.

--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -237,7 +237,7 @@
     site.store().set_faults({.silent = true});
     std::this_thread::sleep_for(milliseconds{1200});
     const auto requested_at = std::chrono::steady_clock::now();
-    const auto answer = site.call(0, "POST", job_name(1), job_body("run 100", 1, 1, false));
+    const auto answer = site.call(0, "POST", job_name(1), job_body("100", 1, 1, false));
     CHECK(answer.status == 503);
     // Callers time out after 3 s in all; half of that remains for a retry at another entry.
     CHECK(std::chrono::steady_clock::now() - requested_at < milliseconds{1500});
@@ -255,8 +255,9 @@
     CHECK(batch_site::wait_for([&] { return ready_status(site) == 503; }, milliseconds{500}));
     site.store().set_faults({});
     CHECK(batch_site::wait_for([&] { return ready_status(site) == 200; }, milliseconds{2000}));
-    CHECK(submit(site, 2, job_body("run 100", 1, 1, false)) == 200);
+    CHECK(submit(site, 2, job_body("100", 1, 1, false)) == 200);
     CHECK(site.call(0, "GET", job_name(1)).status == 410);
+    CHECK(site.wait_for_state(job_name(2), "completed"));
 }
 
 TEST_CASE("store writes with lost or late responses create one job each")
