Log what a leader's time goes to and what waits for it

lead_load, once a second at the leader: reports, answers and passes with their times, messages that wait and the longest wait, undeliverable and rejected messages, waiting units, writes and delays of the timer. lead_suspected tells how long ago orders arrived and a report was sent. To count what waits, messages go through an inbox, in the order of arrival as before.

--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -119,6 +119,7 @@
     message.set_incarnation(this->settings.incarnation);
     if (address.empty() || !this->send_queue.try_push({address, std::move(message)}))
     {
+        ++this->rejected;
         return false;
     }
     if (!this->wake_pending.exchange(true))
@@ -132,7 +133,7 @@
 transport_counters transport::counters() const
 {
     return {this->messages_sent, this->messages_received, this->bytes_sent, this->bytes_received,
-            this->malformed};
+            this->malformed,     this->undeliverable,     this->rejected,   this->unsent};
 }
 
 void transport::run()
@@ -164,6 +165,7 @@
                 {
                     return;
                 }
+                ++this->undeliverable;
                 this->on_undeliverable(address, std::move(first.message));
             }
             to.waiting.pop_front();
@@ -240,6 +242,7 @@
                 flush(address, to, now);
             }
         }
+        this->unsent = all.waiting;
         if (now >= next_sweep)
         {
             next_sweep = now + sweep_interval;
--- a/src/net/transport.hpp
+++ b/src/net/transport.hpp
@@ -35,6 +35,12 @@
     std::uint64_t bytes_sent{};
     std::uint64_t bytes_received{};
     std::uint64_t malformed{};
+    /// Messages that found no connection to their peer in time.
+    std::uint64_t undeliverable{};
+    /// Messages that send() rejected.
+    std::uint64_t rejected{};
+    /// Messages that wait for a connection to their peer.
+    std::uint64_t unsent{};
 };
 
 /// Largest accepted message, in bytes.
@@ -85,6 +91,9 @@
     std::atomic<std::uint64_t> bytes_sent = 0;
     std::atomic<std::uint64_t> bytes_received = 0;
     std::atomic<std::uint64_t> malformed = 0;
+    std::atomic<std::uint64_t> undeliverable = 0;
+    std::atomic<std::uint64_t> rejected = 0;
+    std::atomic<std::uint64_t> unsent = 0;
     std::unique_ptr<sockets> open_sockets;
     std::thread thread;
 };
--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -67,7 +67,12 @@
     this->transport = std::make_unique<net::transport>(
         transport_options,
         [this](wire::envelope message)
-        { this->loop.post([this, message = std::move(message)] { this->receive(message); }); },
+        {
+            if (this->inbox.push(std::move(message), core::boot_clock::now()))
+            {
+                this->loop.post([this] { this->receive_waiting(); });
+            }
+        },
         [this](const std::string& address, const wire::envelope&)
         { this->loop.post([this, address] { this->on_send_failed(address); }); });
     this->register_member();
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -12,6 +12,7 @@
 #include "ports/table_service.hpp"
 #include "ports/worker_control.hpp"
 #include "site/leader.hpp"
+#include "site/message_inbox.hpp"
 #include "site/settings.hpp"
 #include "support/metrics.hpp"
 #include "wire/wire.pb.h"
@@ -58,7 +59,10 @@
     void on_worker_poll_failed(const std::string& reason);
 
     // Communication with other agents and the store (agent_leadership.cpp).
+    /// Handles the messages in the inbox.
+    void receive_waiting();
     void receive(const wire::envelope& message);
+    [[nodiscard]] message_load take_message_load();
     void on_orders(const std::string& from, const wire::batch_orders& orders);
     void follow(std::uint64_t epoch, const std::string& address, const std::string& name);
     void on_probe(const std::string& from, const wire::batch_probe& probe);
@@ -107,6 +111,7 @@
     /// of this one's reports.
     std::uint64_t report_sequence{};
     core::instant last_report{};
+    core::instant last_orders{};
     bool report_scheduled = false;
     /// Pace of reports for the fleet size that the leader stated.
     batch::report_pacing pacing;
@@ -121,6 +126,7 @@
     std::uint64_t members_version{};
     batch::election election;
     core::instant next_leader_read{};
+    message_inbox inbox;
     std::unique_ptr<leader> own_leader;
     std::unique_ptr<net::async_http_server> worker_server;
     std::unique_ptr<net::async_http_server> metrics_server;
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -4,6 +4,9 @@
 #include "site/row_codec.hpp"
 #include "support/events.hpp"
 
+#include <limits>
+#include <utility>
+
 /// Parts of the agent that follow a leader and run for election.
 namespace chicorylift::site
 {
@@ -53,6 +56,20 @@
     }
 }
 
+message_load agent::take_message_load()
+{
+    return {this->inbox.take_load(), this->transport->counters()};
+}
+
+void agent::receive_waiting()
+{
+    constexpr std::size_t all = std::numeric_limits<std::size_t>::max();
+    for (const waiting_message& each : this->inbox.take(all, core::boot_clock::now()))
+    {
+        this->receive(each.message);
+    }
+}
+
 void agent::follow(std::uint64_t new_epoch, const std::string& address, const std::string& name)
 {
     if (new_epoch > this->epoch)
@@ -97,6 +114,7 @@
     const bool is_new = orders.epoch() > this->epoch;
     this->follow(orders.epoch(), from, orders.lead());
     this->election.on_leader_heartbeat(now);
+    this->last_orders = now;
     if (orders.store_lost())
     {
         this->election.on_leader_store_unreachable(now);
@@ -300,7 +318,14 @@
     case batch::election_action::nothing:
         break;
     case batch::election_action::probe:
-        events::write("lead_suspected", {{"epoch", this->epoch}, {"lead", this->leader_name}});
+        events::write(
+            "lead_suspected",
+            {{"epoch", this->epoch},
+             {"lead", this->leader_name},
+             {"orders_ms_ago",
+              this->last_orders == core::instant{} ? -1 : (now - this->last_orders).count()},
+             {"report_ms_ago", (now - this->last_report).count()},
+             {"undeliverable", this->transport->counters().undeliverable}});
         for (const auto& [name, address] : this->probe_targets)
         {
             wire::envelope message;
@@ -421,7 +446,8 @@
                            this->own_leader.reset();
                            this->next_leader_read = {};
                            this->read_leader_row(false);
-                       }},
+                       },
+                       [this] { return this->take_message_load(); }},
         next_epoch, version);
     this->poll_worker_now();
     this->report_soon();
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -6,7 +6,9 @@
 #include "chicorylift/batch/store_health.hpp"
 #include "chicorylift/batch/takeover_guard.hpp"
 #include "net/event_loop.hpp"
+#include "net/transport.hpp"
 #include "ports/table_service.hpp"
+#include "site/message_inbox.hpp"
 #include "site/mirrored_table.hpp"
 #include "site/settings.hpp"
 #include "support/metrics.hpp"
@@ -21,6 +23,30 @@
 namespace chicorylift::site
 {
 
+/// Messages of the hosting process.
+struct message_load
+{
+    inbox_load inbox;
+    /// Totals since the process started.
+    net::transport_counters totals;
+};
+
+/// Work of a leader since its last `lead_load` line.
+struct leader_work
+{
+    std::uint64_t reports{};
+    std::chrono::microseconds report_time{};
+    std::uint64_t answers{};
+    std::chrono::microseconds answer_time{};
+    std::uint64_t passes{};
+    std::uint64_t placement_attempts{};
+    std::chrono::microseconds pass_time{};
+    std::chrono::microseconds max_pass_time{};
+    std::uint64_t writes{};
+    core::milliseconds max_write_time{};
+    core::milliseconds max_tick_delay{};
+};
+
 /// Services that the hosting agent provides to the leader.
 struct leader_context
 {
@@ -32,6 +58,8 @@
     std::function<void(const std::string& address, wire::envelope message)> send;
     /// Called at most once, on the event loop's thread, when another leader has taken over.
     std::function<void(const std::string& reason)> on_superseded;
+    /// @return the process's messages; resets the inbox's longest delay.
+    std::function<message_load()> take_message_load;
 };
 
 /// Leader of the site for one epoch: processes agents' reports, schedules jobs, persists progress.
@@ -95,6 +123,8 @@
     /// reported for ten minutes.
     void trim();
     void log_records();
+    /// Logs what the leader's time went to and what waits for it, once a second.
+    void log_load();
     void step_down(const std::string& reason);
     [[nodiscard]] bool may_issue_orders() const;
     /// @return whether this leader may start and stop runs now.
@@ -131,6 +161,11 @@
     core::instant write_failing_since{};
     core::instant next_pass{};
     core::instant next_trim{};
+    core::instant next_load_line{};
+    core::instant tick_due{};
+    core::instant write_sent_at{};
+    leader_work work;
+    net::transport_counters logged_totals;
     bool trim_in_flight = false;
     /// Time at which this leader first found each job removable.
     std::map<core::job_id, core::instant> ended_since;
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -203,6 +203,7 @@
         included[job] = this->scheduler.unpersisted_version(job);
     }
     this->write_in_flight = true;
+    this->write_sent_at = now;
     const std::weak_ptr<bool> alive = this->lifetime_token;
     this->context.store.commit(changes, write_timeout,
                                [this, alive, included](const ports::commit_outcome& outcome)
@@ -219,6 +220,8 @@
                                 const ports::commit_outcome& outcome)
 {
     const core::instant now = core::boot_clock::now();
+    ++this->work.writes;
+    this->work.max_write_time = std::max(this->work.max_write_time, now - this->write_sent_at);
     switch (outcome.state)
     {
     case ports::commit_state::applied:
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -81,6 +81,8 @@
     event_kind{"lead_suspected", 20, "no heartbeat from the lead arrived in time"},
     event_kind{"lead_taken", 20, "this process leads from now on"},
     event_kind{"lead_lost", 20, "this process leads no longer, and why"},
+    event_kind{"lead_load", 10,
+               "what the leader's time went to and what waits for it, once a second"},
     event_kind{"lead_followed", 20, "this agent now follows the lead of another epoch"},
     event_kind{"dropped", 10, "number of lines of a kind dropped by its rate limit"},
     event_kind{"unlisted", 10, "a line whose kind is not in this list"},
