Reproduce a leader that loses its leases under load, in two failing tests

What callers saw on the large fleet: accepted jobs that did not run though workers were idle (LOST), and too little served (SHORT).

leader_load_test: 340 agents send more reports than their leader handles.

--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -290,6 +290,37 @@
     CHECK(scheduler.placement_attempts() <= 8 + jobs);
 }
 
+TEST_CASE("the units of a wide step that fits cost one placement attempt together")
+{
+    constexpr int workers = 12;
+    constexpr int units = 90;
+    site_scheduler scheduler({}, instant_at(milliseconds{0}));
+    for (int number = 0; number < workers; ++number)
+    {
+        worker_report report;
+        report.agent = agent_id("w" + std::to_string(number));
+        report.worker.announced = true;
+        report.worker.started_at = milliseconds{1};
+        report.worker.service = core::service_id("s");
+        report.worker.capacity = {32000, 131072, 8};
+        report.lists_valid = true;
+        scheduler.on_report(report, instant_at(milliseconds{10}));
+        scheduler.on_renewal_sent(report.agent, instant_at(milliseconds{10}));
+    }
+    job_spec job;
+    job.id = core::job_id("j");
+    job.policy.service = core::service_id("s");
+    step_spec step;
+    step.units = units;
+    step.per_unit = {1000, 1000, 1};
+    step.estimate = milliseconds{5000};
+    job.steps.push_back(step);
+    scheduler.add_job(job, {}, false, instant_at(milliseconds{11}));
+    static_cast<void>(scheduler.schedule(instant_at(milliseconds{20}), milliseconds{0}, false));
+    CHECK(scheduler.active_runs() == units);
+    CHECK(scheduler.placement_attempts() == 1);
+}
+
 /// A scheduler with a single worker, which one unit fills completely, and a first job "j".
 class single_worker_site
 {
--- /dev/null
+++ b/tests/leader_load_test.cpp
@@ -0,0 +1,103 @@
+#include "chicorylift/batch/report_pacing.hpp"
+#include "chicorylift/batch/worker_lease.hpp"
+#include "site/message_inbox.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <string>
+#include <vector>
+
+/// A leader that gets messages faster than it handles them, in virtual time.
+namespace
+{
+
+using namespace chicorylift;
+using core::instant;
+using core::instant_at;
+using std::chrono::milliseconds;
+
+constexpr std::size_t fleet_size = 340;
+constexpr milliseconds lease_length{5100};
+constexpr milliseconds handling_time{1};
+
+struct simulated_agent
+{
+    batch::worker_lease lease{lease_length};
+    std::uint64_t sequence{};
+    instant next_report{};
+    instant next_change{};
+};
+
+struct observed_delays
+{
+    milliseconds max_answer_gap{};
+    milliseconds min_lease_left{lease_length};
+    std::size_t max_waiting{};
+};
+
+/// Plays a fleet whose agents report at the leader's pace, and after each change.
+/// @param changes_per_second changes per agent and second.
+observed_delays play(double changes_per_second, milliseconds length, std::uint32_t seed)
+{
+    const batch::report_pacing pacing = batch::pacing_for(fleet_size);
+    std::minstd_rand random(seed);
+    std::exponential_distribution<double> change(changes_per_second / 1000);
+    std::uniform_int_distribution<std::int64_t> phase(0, pacing.interval.count());
+    const auto next_change = [&](instant now)
+    { return now + milliseconds{static_cast<std::int64_t>(change(random))} + pacing.report_delay; };
+
+    std::vector<simulated_agent> agents(fleet_size);
+    std::vector<instant> answered(fleet_size, instant_at(milliseconds{0}));
+    for (simulated_agent& agent : agents)
+    {
+        agent.next_report = instant_at(milliseconds{phase(random)});
+        agent.next_change = next_change(instant_at(milliseconds{0}));
+    }
+    site::message_inbox inbox;
+    observed_delays seen;
+    for (instant now = instant_at(milliseconds{1}); now < instant_at(length); now += handling_time)
+    {
+        for (std::size_t index = 0; index < agents.size(); ++index)
+        {
+            simulated_agent& agent = agents[index];
+            if (now < std::min(agent.next_report, agent.next_change))
+            {
+                continue;
+            }
+            agent.next_report = now + pacing.interval;
+            agent.next_change = now < agent.next_change ? agent.next_change : next_change(now);
+            agent.lease.on_report_sent(++agent.sequence, now);
+            wire::envelope message;
+            message.set_from(std::to_string(index));
+            message.mutable_unit_report()->set_sequence(agent.sequence);
+            static_cast<void>(inbox.push(std::move(message), now));
+        }
+        for (const site::waiting_message& each : inbox.take(1, now))
+        {
+            const auto index = static_cast<std::size_t>(std::stoul(each.message.from()));
+            agents[index].lease.on_report_acknowledged(each.message.unit_report().sequence(),
+                                                       milliseconds{0});
+            seen.max_answer_gap = std::max(seen.max_answer_gap, now - answered[index]);
+            answered[index] = now;
+        }
+        for (std::size_t index = 0; now > instant_at(lease_length) && index < agents.size();
+             ++index)
+        {
+            seen.min_lease_left =
+                std::min(seen.min_lease_left, agents[index].lease.expires_at() - now);
+        }
+        seen.max_waiting = std::max(seen.max_waiting, inbox.take_load().waiting);
+    }
+    return seen;
+}
+
+} // namespace
+
+TEST_CASE("a leader that gets more reports than it can handle renews every lease in time")
+{
+    const observed_delays seen = play(8, std::chrono::seconds{30}, 25);
+    CHECK(seen.min_lease_left > milliseconds{0});
+    CHECK(seen.max_answer_gap <= batch::pacing_for(fleet_size).election_timeout);
+    CHECK(seen.max_waiting <= fleet_size);
+}
