Search the workers once for a step's units, and plan preemption and reservations once per pass

Cause: a scheduling pass searched all workers anew for each unit of a step, looked each worker up by name for each run, made a list of all preemptible runs for each urgent group, and planned a backfill reservation in some twelve such searches. With 240 workers and some hundred runs that took up to 172 ms of a leader with 0.15 cores (lead_load), several times a second, so renewals of leases waited.

A profile of the shipped scheduler over 240 simulated workers has 94% of its time in place_groups, 66% in reserve_for.

Change: the units of a step that are not a gang share one search; resources are kept by a worker's index; preemptible runs are listed once per pass; a plan counts what fits instead of placing after each freed unit, and ends when it costs more than it may. The decisions stay the same: the simulated load places and stops the same number of runs in its first ten seconds.

--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -26,16 +26,19 @@
     return std::max<std::int64_t>(0, count);
 }
 
-/// @return the racks of the workers without duplicates, in order of first occurrence.
-std::vector<core::rack_id> racks_of(const std::vector<candidate_worker>& workers)
+/// @return the workers by rack, in order of each rack's first occurrence.
+std::vector<std::vector<candidate_worker>> by_rack(const std::vector<candidate_worker>& workers)
 {
-    std::vector<core::rack_id> racks;
+    std::vector<std::vector<candidate_worker>> racks;
+    std::unordered_map<std::string, std::size_t> position;
     for (const candidate_worker& worker : workers)
     {
-        if (std::find(racks.begin(), racks.end(), worker.rack) == racks.end())
+        const auto [known, is_new] = position.try_emplace(worker.rack.str(), racks.size());
+        if (is_new)
         {
-            racks.push_back(worker.rack);
+            racks.emplace_back();
         }
+        racks[known->second].push_back(worker);
     }
     return racks;
 }
@@ -61,13 +64,18 @@
 
 /// Fills the workers one by one: those without recent failures first, then those in the data rack,
 /// then those with the fewest free resources.
-/// @return the placements, or nothing if not all units fit.
-std::optional<std::vector<unit_placement>> fill(const step_spec& step,
-                                                const std::vector<std::int64_t>& units,
-                                                std::vector<candidate_worker> workers)
+/// @return placements of as many units as fit.
+std::vector<unit_placement> fill(const step_spec& step, const std::vector<std::int64_t>& units,
+                                 const std::vector<candidate_worker>& workers)
 {
-    std::erase_if(workers, [&step](const candidate_worker& worker)
-                  { return units_fitting(step, worker, 1) == 0; });
+    std::vector<const candidate_worker*> order;
+    for (const candidate_worker& worker : workers)
+    {
+        if (units_fitting(step, worker, 1) > 0)
+        {
+            order.push_back(&worker);
+        }
+    }
     const auto off_data_rack = [&step](const candidate_worker& worker)
     { return !step.data_rack.empty() && worker.rack.str() != step.data_rack; };
     const auto key = [&off_data_rack](const candidate_worker& worker)
@@ -76,19 +84,33 @@
                           worker.free.accelerators, worker.free.millicores,
                           std::cref(worker.agent));
     };
-    std::sort(workers.begin(), workers.end(),
-              [&key](const candidate_worker& left, const candidate_worker& right)
-              { return key(left) < key(right); });
+    std::sort(order.begin(), order.end(),
+              [&key](const candidate_worker* left, const candidate_worker* right)
+              { return key(*left) < key(*right); });
     std::vector<unit_placement> placed;
-    for (const candidate_worker& worker : workers)
+    for (const candidate_worker* worker : order)
     {
         const auto left = static_cast<std::int64_t>(units.size() - placed.size());
-        for (std::int64_t count = units_fitting(step, worker, left); count > 0; --count)
+        for (std::int64_t count = units_fitting(step, *worker, left); count > 0; --count)
         {
-            placed.push_back({units[placed.size()], worker.agent});
+            placed.push_back({units[placed.size()], worker->agent, worker->index});
         }
     }
-    return placed.size() == units.size() ? std::optional(std::move(placed)) : std::nullopt;
+    return placed;
+}
+
+/// @return the placements, or nothing if not all units fit.
+std::optional<std::vector<unit_placement>> fill_all(const step_spec& step,
+                                                    const std::vector<std::int64_t>& units,
+                                                    const std::vector<candidate_worker>& workers)
+{
+    const auto needed = static_cast<std::int64_t>(units.size());
+    std::int64_t fitting = 0;
+    for (const candidate_worker& worker : workers)
+    {
+        fitting += units_fitting(step, worker, needed);
+    }
+    return fitting < needed ? std::nullopt : std::optional(fill(step, units, workers));
 }
 
 /// Runs whose preemption makes one more unit fit on a worker. Empty, at infinite cost, if none do.
@@ -98,48 +120,14 @@
     double cost = std::numeric_limits<double>::infinity();
 };
 
-/// Runs that free resources on one worker: index of the victim and what it frees there.
-using worker_victims = std::vector<std::pair<std::size_t, resource_amount>>;
-using victims_by_worker = std::unordered_map<std::string, worker_victims>;
-
-/// @return the victims of each worker, in order of cost.
-victims_by_worker group_by_worker(const std::vector<victim>& victims)
-{
-    victims_by_worker groups;
-    for (std::size_t index = 0; index < victims.size(); ++index)
-    {
-        for (const auto& [agent, freed] : victims[index].frees)
-        {
-            worker_victims& group = groups[agent.str()];
-            if (!group.empty() && group.back().first == index)
-            {
-                group.back().second += freed;
-            }
-            else
-            {
-                group.emplace_back(index, freed);
-            }
-        }
-    }
-    for (auto& [agent, group] : groups)
-    {
-        std::sort(group.begin(), group.end(),
-                  [&victims](const auto& left, const auto& right)
-                  { return victims[left.first].cost < victims[right.first].cost; });
-    }
-    return groups;
-}
-
 /// Adds victims in order of cost until one more unit fits on the worker.
 /// @param chosen victims that are part of the plan already.
 victim_set victims_for_one_more_unit(const step_spec& step, const candidate_worker& worker,
-                                     const std::vector<victim>& victims,
-                                     const victims_by_worker& groups,
-                                     const std::vector<bool>& chosen)
+                                     const victim_pool& pool, const std::vector<bool>& chosen)
 {
     constexpr std::int64_t unbounded = 1'000'000;
-    const auto group = groups.find(worker.agent.str());
-    if (group == groups.end())
+    const victim_pool::worker_victims* const group = pool.on(worker.agent);
+    if (group == nullptr)
     {
         return {};
     }
@@ -148,14 +136,14 @@
     candidate_worker after_preemption = worker;
     double cost = 0;
     std::vector<std::size_t> selected;
-    for (const auto& [index, freed] : group->second)
+    for (const auto& [index, freed] : *group)
     {
         if (chosen[index])
         {
             continue;
         }
         after_preemption.free += freed;
-        cost += victims[index].cost;
+        cost += pool.all()[index].cost;
         selected.push_back(index);
         if (units_fitting(step, after_preemption, unbounded) > before)
         {
@@ -171,26 +159,22 @@
 std::optional<preemption_plan> plan_on_workers(const step_spec& step,
                                                const std::vector<std::int64_t>& units,
                                                std::vector<candidate_worker> workers,
-                                               const std::vector<victim>& victims,
-                                               const victims_by_worker& groups)
+                                               const victim_pool& pool, double max_cost)
 {
+    const auto needed = static_cast<std::int64_t>(units.size());
     preemption_plan plan;
-    std::vector<bool> chosen(victims.size(), false);
+    std::vector<bool> chosen(pool.all().size(), false);
     std::vector<victim_set> cheapest(workers.size());
     std::unordered_map<std::string, std::size_t> position;
+    std::int64_t fitting = 0;
     for (std::size_t index = 0; index < workers.size(); ++index)
     {
         position[workers[index].agent.str()] = index;
-        cheapest[index] = victims_for_one_more_unit(step, workers[index], victims, groups, chosen);
+        fitting += units_fitting(step, workers[index], needed);
+        cheapest[index] = victims_for_one_more_unit(step, workers[index], pool, chosen);
     }
-    for (;;)
+    while (fitting < needed)
     {
-        auto placed = fill(step, units, workers);
-        if (placed.has_value())
-        {
-            plan.placements = std::move(*placed);
-            return plan;
-        }
         const auto best = std::min_element(cheapest.begin(), cheapest.end(),
                                            [](const victim_set& left, const victim_set& right)
                                            { return left.cost < right.cost; });
@@ -201,53 +185,96 @@
         std::set<std::size_t> changed;
         for (const std::size_t index : std::exchange(best->victims, {}))
         {
+            const victim& preempted = pool.all()[index];
             chosen[index] = true;
-            plan.preempted_runs.push_back(victims[index].run);
-            plan.cost += victims[index].cost;
-            for (const auto& [agent, freed] : victims[index].frees)
+            plan.preempted_runs.push_back(preempted.run);
+            plan.cost += preempted.cost;
+            for (const auto& [agent, freed] : preempted.frees)
             {
-                const auto worker = position.find(agent.str());
-                if (worker != position.end())
+                const auto found = position.find(agent.str());
+                if (found != position.end())
                 {
-                    workers[worker->second].free += freed;
-                    changed.insert(worker->second);
+                    candidate_worker& worker = workers[found->second];
+                    fitting -= units_fitting(step, worker, needed);
+                    worker.free += freed;
+                    fitting += units_fitting(step, worker, needed);
+                    changed.insert(found->second);
                 }
             }
         }
+        if (plan.cost > max_cost)
+        {
+            return std::nullopt;
+        }
         // Only the workers on which the chosen runs free resources have a new cheapest choice.
         for (const std::size_t index : changed)
         {
-            cheapest[index] =
-                victims_for_one_more_unit(step, workers[index], victims, groups, chosen);
+            cheapest[index] = victims_for_one_more_unit(step, workers[index], pool, chosen);
         }
     }
+    plan.placements = fill(step, units, workers);
+    return plan;
 }
 
 } // namespace
 
+victim_pool::victim_pool(std::vector<victim> all) : victims(std::move(all))
+{
+    for (std::size_t index = 0; index < this->victims.size(); ++index)
+    {
+        for (const auto& [agent, freed] : this->victims[index].frees)
+        {
+            worker_victims& group = this->by_agent[agent.str()];
+            if (!group.empty() && group.back().first == index)
+            {
+                group.back().second += freed;
+            }
+            else
+            {
+                group.emplace_back(index, freed);
+            }
+        }
+    }
+    for (auto& [agent, group] : this->by_agent)
+    {
+        std::sort(group.begin(), group.end(),
+                  [this](const auto& left, const auto& right)
+                  { return this->victims[left.first].cost < this->victims[right.first].cost; });
+    }
+}
+
+const victim_pool::worker_victims* victim_pool::on(const agent_id& agent) const
+{
+    const auto found = this->by_agent.find(agent.str());
+    return found == this->by_agent.end() ? nullptr : &found->second;
+}
+
 std::optional<std::vector<unit_placement>> place_units(const step_spec& step,
                                                        const std::vector<std::int64_t>& units,
                                                        const std::vector<candidate_worker>& workers,
                                                        placement_constraints constraints)
 {
-    const core::rack_id data_rack(step.data_rack);
     const bool has_data_rack = !step.data_rack.empty();
     if (constraints.data_rack_only && has_data_rack)
     {
-        return fill(step, units, in_rack(workers, data_rack));
+        return fill_all(step, units, in_rack(workers, core::rack_id(step.data_rack)));
     }
     if (!constraints.one_rack)
     {
-        return fill(step, units, workers);
+        return fill_all(step, units, workers);
     }
     std::optional<std::vector<unit_placement>> best;
     std::tuple<bool, std::int64_t> best_key;
-    for (const core::rack_id& rack : racks_of(workers))
+    for (const std::vector<candidate_worker>& local : by_rack(workers))
     {
-        const std::vector<candidate_worker> local = in_rack(workers, rack);
-        auto placed = fill(step, units, local);
-        const std::tuple key(has_data_rack && rack != data_rack, free_accelerators(local));
-        if (placed.has_value() && (!best.has_value() || key < best_key))
+        const std::tuple key(has_data_rack && local.front().rack.str() != step.data_rack,
+                             free_accelerators(local));
+        if (best.has_value() && key >= best_key)
+        {
+            continue;
+        }
+        auto placed = fill_all(step, units, local);
+        if (placed.has_value())
         {
             best = std::move(placed);
             best_key = key;
@@ -256,26 +283,37 @@
     return best;
 }
 
+std::vector<unit_placement> place_units_that_fit(const step_spec& step,
+                                                 const std::vector<std::int64_t>& units,
+                                                 const std::vector<candidate_worker>& workers,
+                                                 placement_constraints constraints)
+{
+    return constraints.data_rack_only && !step.data_rack.empty()
+               ? fill(step, units, in_rack(workers, core::rack_id(step.data_rack)))
+               : fill(step, units, workers);
+}
+
 std::optional<preemption_plan> plan_preemption(const step_spec& step,
                                                const std::vector<std::int64_t>& units,
                                                const std::vector<candidate_worker>& workers,
-                                               const std::vector<victim>& victims,
-                                               placement_constraints constraints)
+                                               const victim_pool& victims,
+                                               placement_constraints constraints, double max_cost)
 {
-    const core::rack_id data_rack(step.data_rack);
-    const victims_by_worker groups = group_by_worker(victims);
     if (constraints.data_rack_only && !step.data_rack.empty())
     {
-        return plan_on_workers(step, units, in_rack(workers, data_rack), victims, groups);
+        return plan_on_workers(step, units, in_rack(workers, core::rack_id(step.data_rack)),
+                               victims, max_cost);
     }
     if (!constraints.one_rack)
     {
-        return plan_on_workers(step, units, workers, victims, groups);
+        return plan_on_workers(step, units, workers, victims, max_cost);
     }
     std::optional<preemption_plan> best;
-    for (const core::rack_id& rack : racks_of(workers))
+    std::vector<std::vector<candidate_worker>> racks = by_rack(workers);
+    for (std::vector<candidate_worker>& local : racks)
     {
-        auto plan = plan_on_workers(step, units, in_rack(workers, rack), victims, groups);
+        auto plan = plan_on_workers(step, units, std::move(local), victims,
+                                    best.has_value() ? best->cost : max_cost);
         if (plan.has_value() && (!best.has_value() || plan->cost < best->cost))
         {
             best = std::move(plan);
--- a/src/batch/placement.hpp
+++ b/src/batch/placement.hpp
@@ -2,7 +2,11 @@
 
 #include "batch/site_state.hpp"
 
+#include <limits>
 #include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 /// Placement of units on workers, as pure functions of the workers' free resources.
@@ -14,8 +18,9 @@
 {
     agent_id agent;
     core::rack_id rack;
-    core::zone_id zone;
     resource_amount free;
+    /// worker_state::index.
+    std::size_t index{};
     /// Units of the step that the worker already runs.
     std::int64_t step_units{};
     /// Units of the step have failed on this worker; others are preferred.
@@ -32,6 +37,25 @@
     std::vector<std::pair<agent_id, resource_amount>> frees;
 };
 
+/// Runs that may be preempted, by worker.
+class victim_pool
+{
+public:
+    /// Runs that free resources on one worker, cheapest first: index of the run and what it frees.
+    using worker_victims = std::vector<std::pair<std::size_t, resource_amount>>;
+
+    // Not explicit: a list of victims is a pool.
+    victim_pool(std::vector<victim> all);
+
+    [[nodiscard]] const std::vector<victim>& all() const noexcept { return this->victims; }
+    /// @return the victims on the agent's worker; nullptr if there are none.
+    [[nodiscard]] const worker_victims* on(const agent_id& agent) const;
+
+private:
+    std::vector<victim> victims;
+    std::unordered_map<std::string, worker_victims> by_agent;
+};
+
 /// Runs to stop and the placement of the units once these runs have ended.
 struct preemption_plan
 {
@@ -56,13 +80,21 @@
 place_units(const step_spec& step, const std::vector<std::int64_t>& units,
             const std::vector<candidate_worker>& workers, placement_constraints constraints);
 
+/// Places as many of the units as fit, in their order, as place_units() would one after another.
+[[nodiscard]] std::vector<unit_placement>
+place_units_that_fit(const step_spec& step, const std::vector<std::int64_t>& units,
+                     const std::vector<candidate_worker>& workers,
+                     placement_constraints constraints);
+
 /// Selects runs to preempt, at low total cost, so that all units fit.
 ///
 /// Greedy: repeatedly frees resources for one more unit on the worker where that costs least.
+/// @param max_cost highest cost of a plan.
 /// @return the plan, or nothing if not all units fit even so.
 [[nodiscard]] std::optional<preemption_plan>
 plan_preemption(const step_spec& step, const std::vector<std::int64_t>& units,
-                const std::vector<candidate_worker>& workers, const std::vector<victim>& victims,
-                placement_constraints constraints);
+                const std::vector<candidate_worker>& workers, const victim_pool& victims,
+                placement_constraints constraints,
+                double max_cost = std::numeric_limits<double>::infinity());
 
 } // namespace chicorylift::batch
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -192,11 +192,7 @@
 
 void site_scheduler::add_agent(const agent_id& agent)
 {
-    const auto [found, inserted] = this->inner->workers.try_emplace(agent);
-    if (inserted)
-    {
-        found->second.agent = agent;
-    }
+    static_cast<void>(this->inner->get_or_create_worker(agent));
 }
 
 void site_scheduler::assume_runs_on_unreported_agents()
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -4,13 +4,19 @@
 #include "batch/site_state.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
+#include <span>
+#include <utility>
 #include <vector>
 
 /// Private implementation of site_scheduler. Its members are defined in the scheduler_*.cpp files.
 namespace chicorylift::batch
 {
 
+/// @return key of the group's preemption reservation: its first unit.
+[[nodiscard]] unit_key reservation_key(const placement_group& group);
+
 struct site_scheduler::implementation
 {
     implementation(scheduler_settings settings, core::instant takeover)
@@ -67,27 +73,32 @@
     void place_groups(std::vector<placement_group>& groups, core::instant now);
     /// Places the group and begins its run, if all its units fit.
     /// @return whether the group was placed.
-    bool place_group(const placement_group& group, std::map<agent_id, resource_amount>& available,
+    bool place_group(const placement_group& group, resources_by_worker& available,
                      core::instant now);
+    /// Places groups of one unit of the same step, in their order, until one does not fit.
+    /// @return the number of groups placed.
+    std::size_t place_units_of_step(std::span<const placement_group> groups,
+                                    resources_by_worker& available, core::instant now);
+    /// @return how many of the first groups place_units_of_step() may place together.
+    [[nodiscard]] std::size_t count_units_of_step(std::span<const placement_group> groups) const;
     /// @return @p available plus the resources of runs that are stopping, so that no more runs are
     ///         preempted than needed.
-    [[nodiscard]] std::map<agent_id, resource_amount>
-    available_after_stops(std::map<agent_id, resource_amount> available) const;
+    [[nodiscard]] resources_by_worker available_after_stops(resources_by_worker available) const;
     /// Stops runs to make room for the group, and reserves the room.
     /// @return whether room was reserved.
-    bool preempt_for(const placement_group& group, std::map<agent_id, resource_amount>& available,
+    bool preempt_for(const placement_group& group, resources_by_worker& available,
                      core::instant now);
     /// Deducts the preemption reservations of earlier passes from @p available, and drops those of
     /// groups that no longer wait.
     void deduct_preemption_reservations(const std::vector<placement_group>& groups,
-                                        std::map<agent_id, resource_amount>& available);
+                                        resources_by_worker& available);
     /// Drops a group's preemption reservation and returns its resources to @p available.
     /// @return whether the group had one.
     bool release_preemption_reservation(const placement_group& group,
-                                        std::map<agent_id, resource_amount>& available);
+                                        resources_by_worker& available);
     /// Drops the preemption reservations of groups that are not guaranteed and returns their
     /// resources to @p available.
-    void release_unguaranteed_reservations(std::map<agent_id, resource_amount>& available);
+    void release_unguaranteed_reservations(resources_by_worker& available);
     /// Creates backfill reservations for a group that cannot be placed yet, on the workers that are
     /// expected to have room for it first.
     void reserve_for(const placement_group& group, core::instant now);
@@ -95,12 +106,12 @@
     /// group is guaranteed or expected to end before the reservation starts.
     void apply_reservations(const placement_group& group, std::vector<candidate_worker>& candidates,
                             core::instant now) const;
-    /// @return resources of a worker that runs are expected to still hold after @p until.
-    [[nodiscard]] resource_amount allocated_after(const agent_id& agent, core::instant until,
-                                                  core::instant now) const;
     /// @return when the run is expected to end, by its estimate and progress; `now` when it is
     ///         stopping.
     [[nodiscard]] core::instant expected_end(const run_state& run, core::instant now) const;
+    /// Deducts the placed units from @p available and from the backfill reservations they overlap.
+    void occupy(const placement_group& group, const std::vector<unit_placement>& placements,
+                resources_by_worker& available, core::instant now);
     void begin_run(const placement_group& group, const std::vector<unit_placement>& placements,
                    core::instant now);
     /// Records that an agent's worker may run a unit of the job.
@@ -108,15 +119,15 @@
     void issue_commands(std::vector<agent_command>& commands, core::instant now,
                         bool allow_unpersisted_starts);
     [[nodiscard]] std::vector<candidate_worker>
-    candidate_workers(const placement_group& group,
-                      const std::map<agent_id, resource_amount>& available,
+    candidate_workers(const placement_group& group, const resources_by_worker& available,
                       core::instant now) const;
-    [[nodiscard]] std::vector<victim> preemption_candidates(const placement_group& group,
-                                                            core::instant now) const;
+    /// @return the runs that work of the priority may preempt. Valid until a run starts or stops.
+    [[nodiscard]] const victim_pool& preemption_candidates(std::int64_t priority,
+                                                           core::instant now);
     /// @return core-seconds of work that stopping the run would lose.
     [[nodiscard]] double preemption_cost(const run_state& run, const step_spec& step,
                                          core::instant now) const;
-    [[nodiscard]] std::map<agent_id, resource_amount> available_resources() const;
+    [[nodiscard]] resources_by_worker available_resources() const;
     [[nodiscard]] bool may_place_on(const worker_state& worker, const job_state& job,
                                     const step_spec& step, core::instant now) const;
     [[nodiscard]] placement_constraints constraints_for(const placement_group& group,
@@ -139,6 +150,9 @@
     std::map<core::organisation_id, std::int64_t> guaranteed;
     std::map<core::job_id, job_state> jobs;
     std::map<run_number, run_state> runs;
+    /// @return the agent's worker, which is created if it is not known.
+    worker_state& get_or_create_worker(const agent_id& agent);
+
     std::map<agent_id, worker_state> workers;
     std::map<core::organisation_id, std::int64_t> urgent_demand;
     std::set<core::job_id> unpersisted;
@@ -152,14 +166,18 @@
         /// Resources that other runs may still hold after `until`.
         resource_amount spare;
     };
-    std::map<agent_id, backfill_reservation> backfill_reservations;
+    /// By worker_state::index.
+    std::map<std::size_t, backfill_reservation> backfill_reservations;
     /// Resources that preemption frees for a group, reserved until the group starts.
     struct preemption_reservation
     {
-        std::vector<std::pair<agent_id, resource_amount>> resources;
+        /// By worker_state::index.
+        std::vector<std::pair<std::size_t, resource_amount>> resources;
         bool guaranteed = false;
     };
     std::map<unit_key, preemption_reservation> preemption_reservations;
+    /// Result of preemption_candidates() in this pass, with its priority.
+    std::optional<std::pair<std::int64_t, victim_pool>> victims;
     std::size_t pending_units{};
     std::size_t placement_attempts{};
     std::vector<decision_record> records;
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <span>
 
 /// Second half of a scheduling pass: places ready groups on workers, reserves room for groups that
 /// must wait, and issues start and stop commands.
@@ -19,12 +21,23 @@
 
 } // namespace
 
-std::map<agent_id, resource_amount> site_scheduler::implementation::available_resources() const
+worker_state& site_scheduler::implementation::get_or_create_worker(const agent_id& agent)
 {
-    std::map<agent_id, resource_amount> available;
+    const auto [found, inserted] = this->workers.try_emplace(agent);
+    if (inserted)
+    {
+        found->second.agent = agent;
+        found->second.index = this->workers.size() - 1;
+    }
+    return found->second;
+}
+
+resources_by_worker site_scheduler::implementation::available_resources() const
+{
+    resources_by_worker available(this->workers.size());
     for (const auto& [id, worker] : this->workers)
     {
-        available[id] = worker.info.capacity;
+        available[worker.index] = worker.info.capacity;
     }
     for (const auto& [number, run] : this->runs)
     {
@@ -32,7 +45,7 @@
         {
             if (!member.ended)
             {
-                available[member.agent] -= run.per_unit;
+                available[member.worker] -= run.per_unit;
             }
         }
     }
@@ -60,11 +73,10 @@
 }
 
 std::vector<candidate_worker> site_scheduler::implementation::candidate_workers(
-    const placement_group& group, const std::map<agent_id, resource_amount>& available,
-    core::instant now) const
+    const placement_group& group, const resources_by_worker& available, core::instant now) const
 {
     const step_spec& step = this->spec_of(group);
-    std::map<agent_id, std::int64_t> units_per_worker;
+    std::vector<std::int64_t> units_per_worker(step.max_per_worker == 0 ? 0 : available.size());
     for (const auto& [number, run] : this->runs)
     {
         if (step.max_per_worker == 0)
@@ -78,11 +90,18 @@
         }
         for (const run_member_state& member : run.members)
         {
-            units_per_worker[member.agent] += member.ended ? 0 : 1;
+            units_per_worker[member.worker] += member.ended ? 0 : 1;
         }
     }
     const step_state& state = group.job->occurrences.at(group.occurrence)[to_index(group.step)];
+    std::set<agent_id> failed_on;
+    for (const std::int64_t unit : group.units)
+    {
+        const std::set<agent_id>& failed = state.units[to_index(unit)].failed_on;
+        failed_on.insert(failed.begin(), failed.end());
+    }
     std::vector<candidate_worker> candidates;
+    candidates.reserve(this->workers.size());
     for (const auto& [id, worker] : this->workers)
     {
         if (!this->may_place_on(worker, *group.job, step, now) ||
@@ -90,20 +109,14 @@
         {
             continue;
         }
-        candidate_worker candidate;
+        candidate_worker& candidate = candidates.emplace_back();
         candidate.agent = id;
         candidate.rack = worker.info.rack;
-        candidate.zone = worker.info.zone;
-        candidate.free = available.at(id);
-        candidate.step_units = units_per_worker[id];
-        for (const std::int64_t unit : group.units)
-        {
-            candidate.has_recent_failures =
-                candidate.has_recent_failures || state.units[to_index(unit)].failed_on.contains(id);
-        }
+        candidate.free = available[worker.index];
+        candidate.index = worker.index;
+        candidate.step_units = units_per_worker.empty() ? 0 : units_per_worker[worker.index];
         candidate.has_recent_failures =
-            candidate.has_recent_failures || worker.failure_history.failures > 0;
-        candidates.push_back(std::move(candidate));
+            worker.failure_history.failures > 0 || (!failed_on.empty() && failed_on.contains(id));
     }
     return candidates;
 }
@@ -149,18 +162,32 @@
 void site_scheduler::implementation::place_groups(std::vector<placement_group>& groups,
                                                   core::instant now)
 {
-    std::map<agent_id, resource_amount> available = this->available_resources();
+    resources_by_worker available = this->available_resources();
     this->backfill_reservations.clear();
+    this->victims.reset();
     this->placement_attempts = 0;
     this->deduct_preemption_reservations(groups, available);
     const void* full_step = nullptr;
-    for (const placement_group& group : groups)
+    for (std::size_t next = 0; next < groups.size(); ++next)
     {
-        const bool had_reservation = this->release_preemption_reservation(group, available);
+        const std::span rest = std::span<const placement_group>(groups).subspan(next);
         // All units of a step request the same resources: when one cannot be placed, neither can
         // the others, except those with a preemption reservation.
-        const void* const step = &this->spec_of(group);
-        if ((step == full_step && !had_reservation) || this->place_group(group, available, now))
+        const void* const step = &this->spec_of(rest.front());
+        const std::size_t alike = step == full_step ? 0 : this->count_units_of_step(rest);
+        if (alike > 1)
+        {
+            const std::size_t placed = this->place_units_of_step(rest.first(alike), available, now);
+            if (placed > 0)
+            {
+                next += placed - 1;
+                continue;
+            }
+        }
+        const placement_group& group = rest.front();
+        const bool had_reservation = this->release_preemption_reservation(group, available);
+        if ((step == full_step && !had_reservation) ||
+            (alike <= 1 && this->place_group(group, available, now)))
         {
             continue;
         }
@@ -176,6 +203,45 @@
     }
 }
 
+std::size_t
+site_scheduler::implementation::count_units_of_step(std::span<const placement_group> groups) const
+{
+    const step_spec& step = this->spec_of(groups.front());
+    const step_state& state = groups.front().job->occurrences.at(
+        groups.front().occurrence)[to_index(groups.front().step)];
+    std::size_t count = 0;
+    while (!step.gang && count < groups.size() && &this->spec_of(groups[count]) == &step &&
+           groups[count].occurrence == groups.front().occurrence &&
+           state.units[to_index(groups[count].units.front())].failed_on.empty() &&
+           !this->preemption_reservations.contains(reservation_key(groups[count])))
+    {
+        ++count;
+    }
+    return count;
+}
+
+std::size_t site_scheduler::implementation::place_units_of_step(
+    std::span<const placement_group> groups, resources_by_worker& available, core::instant now)
+{
+    const placement_group& first = groups.front();
+    std::vector<std::int64_t> units;
+    for (const placement_group& group : groups)
+    {
+        units.push_back(group.units.front());
+    }
+    ++this->placement_attempts;
+    std::vector<candidate_worker> candidates = this->candidate_workers(first, available, now);
+    this->apply_reservations(first, candidates, now);
+    const std::vector<unit_placement> placed = place_units_that_fit(
+        this->spec_of(first), units, candidates, this->constraints_for(first, now));
+    for (std::size_t index = 0; index < placed.size(); ++index)
+    {
+        this->occupy(first, {placed[index]}, available, now);
+        this->begin_run(groups[index], {placed[index]}, now);
+    }
+    return placed.size();
+}
+
 core::instant site_scheduler::implementation::expected_end(const run_state& run,
                                                            core::instant now) const
 {
@@ -203,26 +269,38 @@
 {
     const step_spec& step = this->spec_of(group);
     std::vector<std::pair<core::instant, const run_state*>> ends;
+    ends.reserve(this->runs.size());
     for (const auto& [number, run] : this->runs)
     {
         ends.emplace_back(this->expected_end(run, now), &run);
     }
     std::sort(ends.begin(), ends.end());
     const placement_constraints rules = this->constraints_for(group, now);
-    const auto placed_after = [&](std::size_t count)
+    const resources_by_worker available = this->available_resources();
+    std::vector<candidate_worker> candidates = this->candidate_workers(group, available, now);
+    const auto free_after = [&](std::size_t count)
     {
-        std::map<agent_id, resource_amount> later = this->available_resources();
+        resources_by_worker later = available;
         for (std::size_t index = 0; index < count; ++index)
         {
             for (const run_member_state& member : ends[index].second->members)
             {
                 if (!member.ended)
                 {
-                    later[member.agent] += ends[index].second->per_unit;
+                    later[member.worker] += ends[index].second->per_unit;
                 }
             }
         }
-        return place_units(step, group.units, this->candidate_workers(group, later, now), rules);
+        return later;
+    };
+    const auto placed_after = [&](std::size_t count)
+    {
+        const resources_by_worker later = free_after(count);
+        for (candidate_worker& candidate : candidates)
+        {
+            candidate.free = later[candidate.index];
+        }
+        return place_units(step, group.units, candidates, rules);
     };
     if (ends.empty() || !placed_after(ends.size()).has_value())
     {
@@ -241,16 +319,19 @@
     const auto placed = placed_after(high);
     for (const unit_placement& placement : placed.value())
     {
-        backfill_reservation& reservation = this->backfill_reservations[placement.agent];
+        backfill_reservation& reservation = this->backfill_reservations[placement.worker];
         reservation.job = group.job->spec.id;
         reservation.reserved += step.resource_request();
         reservation.until = when;
     }
-    for (auto& [agent, reservation] : this->backfill_reservations)
+    const auto first_later = std::find_if(ends.begin(), ends.end(),
+                                          [when](const auto& end) { return end.first > when; });
+    const resources_by_worker spare =
+        free_after(static_cast<std::size_t>(std::distance(ends.begin(), first_later)));
+    for (auto& [worker, reservation] : this->backfill_reservations)
     {
-        reservation.spare = this->workers.at(agent).info.capacity;
+        reservation.spare = spare[worker];
         reservation.spare -= reservation.reserved;
-        reservation.spare -= this->allocated_after(agent, when, now);
     }
 }
 
@@ -261,7 +342,7 @@
     const core::instant end = now + this->spec_of(group).estimate;
     for (candidate_worker& candidate : candidates)
     {
-        const auto reservation = this->backfill_reservations.find(candidate.agent);
+        const auto reservation = this->backfill_reservations.find(candidate.index);
         if (reservation == this->backfill_reservations.end() ||
             reservation->second.job == group.job->spec.id || group.guaranteed ||
             end <= reservation->second.until)
@@ -276,31 +357,8 @@
     }
 }
 
-resource_amount site_scheduler::implementation::allocated_after(const agent_id& agent,
-                                                                core::instant until,
-                                                                core::instant now) const
-{
-    resource_amount allocated;
-    for (const auto& [number, run] : this->runs)
-    {
-        if (this->expected_end(run, now) <= until)
-        {
-            continue;
-        }
-        for (const run_member_state& member : run.members)
-        {
-            if (member.agent == agent && !member.ended)
-            {
-                allocated += run.per_unit;
-            }
-        }
-    }
-    return allocated;
-}
-
 bool site_scheduler::implementation::place_group(const placement_group& group,
-                                                 std::map<agent_id, resource_amount>& available,
-                                                 core::instant now)
+                                                 resources_by_worker& available, core::instant now)
 {
     ++this->placement_attempts;
     std::vector<candidate_worker> candidates = this->candidate_workers(group, available, now);
@@ -311,19 +369,26 @@
     {
         return false;
     }
+    this->occupy(group, *placed, available, now);
+    this->begin_run(group, *placed, now);
+    return true;
+}
+
+void site_scheduler::implementation::occupy(const placement_group& group,
+                                            const std::vector<unit_placement>& placements,
+                                            resources_by_worker& available, core::instant now)
+{
     const resource_amount request = this->spec_of(group).resource_request();
-    for (const unit_placement& placement : *placed)
+    for (const unit_placement& placement : placements)
     {
-        available[placement.agent] -= request;
-        const auto reservation = this->backfill_reservations.find(placement.agent);
+        available[placement.worker] -= request;
+        const auto reservation = this->backfill_reservations.find(placement.worker);
         if (reservation != this->backfill_reservations.end() &&
             now + this->spec_of(group).estimate > reservation->second.until)
         {
             reservation->second.spare -= request;
         }
     }
-    this->begin_run(group, *placed, now);
-    return true;
 }
 
 void site_scheduler::implementation::add_job_agent(job_state& job, const agent_id& agent)
@@ -368,6 +433,7 @@
         run_member_state member;
         member.index = placement.index;
         member.agent = placement.agent;
+        member.worker = placement.worker;
         member.last_progress_at = now;
         run.members.push_back(member);
         this->workers[placement.agent].runs.insert(number);
--- a/src/batch/scheduler_preemption.cpp
+++ b/src/batch/scheduler_preemption.cpp
@@ -3,25 +3,20 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 /// Preemption: chooses the runs to stop for urgent groups, weighs the lost work, and reserves the
 /// freed resources until the group starts.
 namespace chicorylift::batch
 {
 
-namespace
-{
-
-/// @return key of the group's preemption reservation: its first unit.
 unit_key reservation_key(const placement_group& group)
 {
     return {group.job->spec.id, group.occurrence, group.step, group.units.front()};
 }
 
-} // namespace
-
 void site_scheduler::implementation::deduct_preemption_reservations(
-    const std::vector<placement_group>& groups, std::map<agent_id, resource_amount>& available)
+    const std::vector<placement_group>& groups, resources_by_worker& available)
 {
     std::map<unit_key, preemption_reservation> waiting;
     for (const placement_group& group : groups)
@@ -35,40 +30,40 @@
     this->preemption_reservations = std::move(waiting);
     for (const auto& [unit, reservation] : this->preemption_reservations)
     {
-        for (const auto& [agent, amount] : reservation.resources)
+        for (const auto& [worker, amount] : reservation.resources)
         {
-            available[agent] -= amount;
+            available[worker] -= amount;
         }
     }
 }
 
-bool site_scheduler::implementation::release_preemption_reservation(
-    const placement_group& group, std::map<agent_id, resource_amount>& available)
+bool site_scheduler::implementation::release_preemption_reservation(const placement_group& group,
+                                                                    resources_by_worker& available)
 {
     const auto found = this->preemption_reservations.find(reservation_key(group));
     if (found == this->preemption_reservations.end())
     {
         return false;
     }
-    for (const auto& [agent, amount] : found->second.resources)
+    for (const auto& [worker, amount] : found->second.resources)
     {
-        available[agent] += amount;
+        available[worker] += amount;
     }
     this->preemption_reservations.erase(found);
     return true;
 }
 
 void site_scheduler::implementation::release_unguaranteed_reservations(
-    std::map<agent_id, resource_amount>& available)
+    resources_by_worker& available)
 {
     std::erase_if(this->preemption_reservations,
                   [&available](const auto& each)
                   {
-                      for (const auto& [agent, amount] : each.second.resources)
+                      for (const auto& [worker, amount] : each.second.resources)
                       {
                           if (!each.second.guaranteed)
                           {
-                              available[agent] += amount;
+                              available[worker] += amount;
                           }
                       }
                       return !each.second.guaranteed;
@@ -94,23 +89,25 @@
     return work_core_seconds(step, run.members.size(), lost);
 }
 
-std::vector<victim>
-site_scheduler::implementation::preemption_candidates(const placement_group& group,
-                                                      core::instant now) const
+const victim_pool& site_scheduler::implementation::preemption_candidates(std::int64_t priority,
+                                                                         core::instant now)
 {
-    std::vector<victim> victims;
+    if (this->victims.has_value() && this->victims->first == priority)
+    {
+        return this->victims->second;
+    }
+    std::vector<victim> found;
     for (const auto& [number, run] : this->runs)
     {
         const auto job = this->jobs.find(run.job);
-        if (run.stopping || job == this->jobs.end() ||
-            job->second.policy.priority <= group.job->policy.priority)
+        if (run.stopping || job == this->jobs.end() || job->second.policy.priority <= priority)
         {
             continue;
         }
-        const step_spec& step = job->second.spec.steps[to_index(run.step)];
         victim candidate;
         candidate.run = number;
-        candidate.cost = this->preemption_cost(run, step, now);
+        candidate.cost =
+            this->preemption_cost(run, job->second.spec.steps[to_index(run.step)], now);
         for (const run_member_state& member : run.members)
         {
             if (!member.ended)
@@ -118,13 +115,14 @@
                 candidate.frees.emplace_back(member.agent, run.per_unit);
             }
         }
-        victims.push_back(std::move(candidate));
+        found.push_back(std::move(candidate));
     }
-    return victims;
+    this->victims.emplace(priority, std::move(found));
+    return this->victims->second;
 }
 
-std::map<agent_id, resource_amount> site_scheduler::implementation::available_after_stops(
-    std::map<agent_id, resource_amount> available) const
+resources_by_worker
+site_scheduler::implementation::available_after_stops(resources_by_worker available) const
 {
     for (const auto& [number, run] : this->runs)
     {
@@ -132,7 +130,7 @@
         {
             if (run.stopping && !member.ended)
             {
-                available[member.agent] += run.per_unit;
+                available[member.worker] += run.per_unit;
             }
         }
     }
@@ -140,17 +138,25 @@
 }
 
 bool site_scheduler::implementation::preempt_for(const placement_group& group,
-                                                 std::map<agent_id, resource_amount>& available,
-                                                 core::instant now)
+                                                 resources_by_worker& available, core::instant now)
 {
     const step_spec& step = this->spec_of(group);
-    const std::vector<victim> victims = this->preemption_candidates(group, now);
+    const double gain = work_core_seconds(step, group.units.size(), step.estimate);
+    const placement_weights& weights = this->settings.weights;
+    if (!group.guaranteed && group.objective_missed)
+    {
+        return false;
+    }
+    const double max_cost =
+        group.guaranteed ? std::numeric_limits<double>::infinity()
+                         : weights.preemption_cost_base + gain * weights.preemption_cost_factor;
+    const victim_pool& candidates = this->preemption_candidates(group.job->policy.priority, now);
     const auto plan_with = [&](placement_constraints rules)
     {
         return plan_preemption(
             step, group.units,
-            this->candidate_workers(group, this->available_after_stops(available), now), victims,
-            rules);
+            this->candidate_workers(group, this->available_after_stops(available), now), candidates,
+            rules, max_cost);
     };
     auto plan = plan_with(this->constraints_for(group, now));
     if (!plan.has_value() && group.guaranteed)
@@ -167,14 +173,6 @@
     {
         return false;
     }
-    const double gain = work_core_seconds(step, group.units.size(), step.estimate);
-    const placement_weights& weights = this->settings.weights;
-    if (!group.guaranteed &&
-        (group.objective_missed ||
-         plan->cost > weights.preemption_cost_base + gain * weights.preemption_cost_factor))
-    {
-        return false;
-    }
     if (!plan->preempted_runs.empty())
     {
         this->record_decision(
@@ -189,13 +187,14 @@
     {
         this->stop_run(this->runs.at(number), "preempted for job " + group.job->spec.id.str());
     }
+    this->victims.reset();
     const resource_amount request = step.resource_request();
     preemption_reservation& reservation = this->preemption_reservations[reservation_key(group)];
     reservation.guaranteed = group.guaranteed;
     for (const unit_placement& placement : plan->placements)
     {
-        available[placement.agent] -= request;
-        reservation.resources.emplace_back(placement.agent, request);
+        available[placement.worker] -= request;
+        reservation.resources.emplace_back(placement.worker, request);
         // Persists the agent while the runs are stopping, so that the start does not wait for the
         // write.
         this->add_job_agent(*group.job, placement.agent);
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -32,8 +32,7 @@
 
 void site_scheduler::implementation::on_report(const worker_report& report, core::instant now)
 {
-    worker_state& worker = this->workers[report.agent];
-    worker.agent = report.agent;
+    worker_state& worker = this->get_or_create_worker(report.agent);
     worker.last_report_at = now;
     worker.reported = true;
     worker.agent_stopping = report.agent_stopping;
@@ -244,6 +243,7 @@
     run_member_state member;
     member.index = reported.unit.index;
     member.agent = worker.agent;
+    member.worker = worker.index;
     member.command_sent = true;
     member.confirmed = reported.phase != run_phase::starting;
     member.phase = reported.phase;
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -85,6 +85,8 @@
 {
     std::int64_t index{};
     agent_id agent;
+    /// worker_state::index of the agent's worker.
+    std::size_t worker{};
     run_phase phase = run_phase::starting;
     bool command_sent = false;
     bool ended = false;
@@ -153,6 +155,8 @@
 struct worker_state
 {
     agent_id agent;
+    /// Position in lists with one entry per worker; workers are never removed.
+    std::size_t index{};
     worker_info info;
     bool reported = false;
     /// Complete run lists were received since this leader took over, or since the worker was lost.
@@ -192,11 +196,16 @@
     bool reservation_due = false;
 };
 
+/// One amount per worker, by worker_state::index.
+using resources_by_worker = std::vector<resource_amount>;
+
 /// Worker on which a unit is placed.
 struct unit_placement
 {
     std::int64_t index{};
     agent_id agent;
+    /// worker_state::index of the agent's worker.
+    std::size_t worker{};
 };
 
 } // namespace chicorylift::batch
