Keep scheduling passes to a fifth of a leader's time

Cause: a pass was meant to be followed by a rest of four times its length, but the leader's tick ran one every 200 ms all the same, and the rest was at most 0.5 s. When a pass took 150 ms or more, passes took most of the time, and the slower they were, the more.

Change: all passes go through one schedule, which rests four times a pass's length, at most 2 s.

Test: batch_takeover_test "scheduling passes leave a leader four fifths of its time"; the calculation was inside the leader before and had no test.

--- /dev/null
+++ b/src/batch/pass_pacing.cpp
@@ -0,0 +1,29 @@
+#include "chicorylift/batch/pass_pacing.hpp"
+
+#include <algorithm>
+
+namespace chicorylift::batch
+{
+
+namespace
+{
+
+constexpr core::milliseconds min_delay{4};
+// Rest after a pass, as a multiple of its duration: passes take a fifth of the time.
+constexpr std::int64_t rest_factor = 4;
+// Well below the time in which guaranteed work must start.
+constexpr core::milliseconds max_rest{2000};
+
+} // namespace
+
+void pass_pacing::on_pass(core::instant start, core::instant end) noexcept
+{
+    this->next_pass = end + std::min((end - start) * rest_factor, max_rest);
+}
+
+core::milliseconds pass_pacing::delay(core::instant now) const noexcept
+{
+    return std::max(this->next_pass - now, min_delay);
+}
+
+} // namespace chicorylift::batch
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -21,11 +21,6 @@
 
 constexpr core::milliseconds tick_interval{200};
 constexpr core::milliseconds load_line_interval{1000};
-// Changes within this time are handled in one scheduling pass.
-constexpr core::milliseconds pass_delay{4};
-// Delay before the next pass, as a multiple of the last pass's duration.
-constexpr std::int64_t pass_rest_factor = 4;
-constexpr core::milliseconds max_pass_delay{500};
 constexpr core::milliseconds config_wait{3000};
 // A silent store is detected only when a watch times out, so this wait is short.
 constexpr core::milliseconds job_wait{1000};
@@ -339,12 +334,7 @@
     }
     this->pass_scheduled = true;
     const std::weak_ptr<bool> alive = this->lifetime_token;
-    // Passes take at most a fixed share of the event loop's time, so that reports are handled in
-    // time.
-    const core::instant now = core::boot_clock::now();
-    const core::milliseconds delay =
-        std::clamp<core::milliseconds>(this->next_pass - now, pass_delay, max_pass_delay);
-    this->context.loop.run_after(delay,
+    this->context.loop.run_after(this->passes.delay(core::boot_clock::now()),
                                  [this, alive]
                                  {
                                      if (!alive.expired())
@@ -370,12 +360,12 @@
     this->log_records();
     this->send_orders(orders);
     this->write_progress();
-    const auto duration = std::chrono::duration_cast<core::milliseconds>(watch.elapsed());
+    const core::instant end = core::boot_clock::now();
+    this->passes.on_pass(now, end);
     ++this->work.passes;
     this->work.placement_attempts += this->scheduler.placement_attempts();
     this->work.max_pass_time = std::max(this->work.max_pass_time, watch.elapsed());
-    this->next_pass = core::boot_clock::now() + duration * pass_rest_factor;
-    this->context.metrics.observe("pass", "site", "all", duration);
+    this->context.metrics.observe("pass", "site", "all", end - now);
     this->context.metrics.increment("placing", "tries", this->scheduler.placement_attempts());
 }
 
@@ -529,7 +519,7 @@
     }
     if (this->loaded)
     {
-        this->run_pass();
+        this->schedule_pass();
         this->trim();
     }
     this->last_tick = core::boot_clock::now();
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chicorylift/batch/leadership_confirmation.hpp"
+#include "chicorylift/batch/pass_pacing.hpp"
 #include "chicorylift/batch/scheduler.hpp"
 #include "chicorylift/batch/site_config.hpp"
 #include "chicorylift/batch/store_health.hpp"
@@ -159,7 +160,7 @@
     core::instant resumed_at{};
     core::instant next_lazy_write{};
     core::instant write_failing_since{};
-    core::instant next_pass{};
+    batch::pass_pacing passes;
     core::instant next_trim{};
     core::instant next_load_line{};
     core::instant tick_due{};
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylift/batch/leadership_confirmation.hpp"
+#include "chicorylift/batch/pass_pacing.hpp"
 #include "chicorylift/batch/probe_sample.hpp"
 #include "chicorylift/batch/report_pacing.hpp"
 #include "chicorylift/batch/scheduler.hpp"
@@ -209,6 +210,22 @@
     CHECK(pacing_for(22'000).report_delay <= milliseconds{40});
 }
 
+TEST_CASE("scheduling passes leave a leader four fifths of its time")
+{
+    pass_pacing passes;
+    core::instant now = instant_at(milliseconds{1000});
+    milliseconds in_passes{0};
+    for (const milliseconds duration : {milliseconds{20}, milliseconds{300}, milliseconds{450}})
+    {
+        passes.on_pass(now, now + duration);
+        in_passes += duration;
+        now += duration + passes.delay(now + duration);
+    }
+    CHECK(now - instant_at(milliseconds{1000}) == in_passes * 5);
+    // Changes that arrive together share a pass.
+    CHECK(passes.delay(now) > milliseconds{0});
+}
+
 TEST_CASE("a start whose agent has been persisted does not wait for the next scheduling pass")
 {
     site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
