Skip outdated reports that wait for a leader

Once a leader fell behind it did not recover: leases of many workers ended at one moment, and memory grew to its limit of 128 MB.

Cause (class of fault: an unbounded queue of outdated work under overload): reports waited in the order of arrival, each agent's later ones behind its earlier ones, and one turn of the event loop handled all of them before any timer. A leader that was behind answered old reports, which renew a lease only from when they were sent, and fell further behind.

Change: a report repeats all that still holds, so a later one of the same process takes the place of one that waits; at most one report of each process waits. A turn of the loop handles 32 messages, so timers and responses of the store are not held up.

--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -4,7 +4,6 @@
 #include "site/row_codec.hpp"
 #include "support/events.hpp"
 
-#include <limits>
 #include <utility>
 
 /// Parts of the agent that follow a leader and run for election.
@@ -17,6 +16,8 @@
 namespace events = support::events;
 
 constexpr core::milliseconds store_timeout{800};
+// Timers and responses of the store wait for no more than this many messages.
+constexpr std::size_t max_messages_per_iteration = 32;
 constexpr core::milliseconds leader_read_interval{400};
 constexpr core::milliseconds member_read_interval{1500};
 // A start command needs this much of the lease left to reach the worker in time.
@@ -63,11 +64,15 @@
 
 void agent::receive_waiting()
 {
-    constexpr std::size_t all = std::numeric_limits<std::size_t>::max();
-    for (const waiting_message& each : this->inbox.take(all, core::boot_clock::now()))
+    for (const waiting_message& each :
+         this->inbox.take(max_messages_per_iteration, core::boot_clock::now()))
     {
         this->receive(each.message);
     }
+    if (!this->inbox.is_empty())
+    {
+        this->loop.post([this] { this->receive_waiting(); });
+    }
 }
 
 void agent::follow(std::uint64_t new_epoch, const std::string& address, const std::string& name)
--- a/src/site/message_inbox.cpp
+++ b/src/site/message_inbox.cpp
@@ -6,11 +6,34 @@
 namespace chicorylift::site
 {
 
+namespace
+{
+
+/// @return the key of the process that sent the message; a restarted process has another one.
+std::string sender_of(const wire::envelope& message)
+{
+    return message.from() + ' ' + message.incarnation();
+}
+
+} // namespace
+
 bool message_inbox::push(wire::envelope message, core::instant now)
 {
     const std::lock_guard lock(this->guard);
-    this->messages.push_back({std::move(message), now});
-    return this->messages.size() == 1;
+    const bool was_empty = this->messages.empty();
+    if (!message.has_unit_report())
+    {
+        this->messages.push_back({std::move(message), now});
+        return was_empty;
+    }
+    const auto [known, is_new] = this->reports.try_emplace(sender_of(message));
+    if (!is_new)
+    {
+        known->second->message = std::move(message);
+        return was_empty;
+    }
+    known->second = this->messages.insert(this->messages.end(), {std::move(message), now});
+    return was_empty;
 }
 
 std::vector<waiting_message> message_inbox::take(std::size_t max_count, core::instant now)
@@ -19,13 +42,24 @@
     const std::lock_guard lock(this->guard);
     while (!this->messages.empty() && taken.size() < max_count)
     {
-        this->max_delay = std::max(this->max_delay, now - this->messages.front().arrived);
-        taken.push_back(std::move(this->messages.front()));
+        waiting_message& first = this->messages.front();
+        this->max_delay = std::max(this->max_delay, now - first.arrived);
+        if (first.message.has_unit_report())
+        {
+            this->reports.erase(sender_of(first.message));
+        }
+        taken.push_back(std::move(first));
         this->messages.pop_front();
     }
     return taken;
 }
 
+bool message_inbox::is_empty()
+{
+    const std::lock_guard lock(this->guard);
+    return this->messages.empty();
+}
+
 inbox_load message_inbox::take_load()
 {
     const std::lock_guard lock(this->guard);
--- a/src/site/message_inbox.hpp
+++ b/src/site/message_inbox.hpp
@@ -4,9 +4,10 @@
 #include "wire/wire.pb.h"
 
 #include <cstddef>
-#include <deque>
-#include <functional>
+#include <list>
 #include <mutex>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace chicorylift::site
@@ -28,20 +29,28 @@
 };
 
 /// Messages between the transport's thread and the event loop. Thread-safe.
+///
+/// A report repeats everything that still holds, so a later one of the same process replaces one
+/// that waits. When the loop is slower than the senders, it thus skips outdated reports instead of
+/// falling behind, and at most one report of each process waits.
 class message_inbox
 {
 public:
-    /// Appends a message.
+    /// Appends a message, or replaces the waiting report of the same process. The report keeps its
+    /// place and its time of arrival then.
     /// @return whether the inbox was empty, so that its reader must be woken.
     [[nodiscard]] bool push(wire::envelope message, core::instant now);
     /// @return at most @p max_count messages, oldest first.
     [[nodiscard]] std::vector<waiting_message> take(std::size_t max_count, core::instant now);
+    [[nodiscard]] bool is_empty();
     /// @return the inbox's state; resets the longest delay.
     [[nodiscard]] inbox_load take_load();
 
 private:
     std::mutex guard;
-    std::deque<waiting_message> messages;
+    std::list<waiting_message> messages;
+    /// Waiting reports by the process that sent them.
+    std::unordered_map<std::string, std::list<waiting_message>::iterator> reports;
     core::milliseconds max_delay{};
 };
 
--- a/tests/leader_load_test.cpp
+++ b/tests/leader_load_test.cpp
@@ -92,6 +92,16 @@
     return seen;
 }
 
+wire::envelope report_from(const std::string& sender, const std::string& incarnation,
+                           std::uint64_t sequence)
+{
+    wire::envelope message;
+    message.set_from(sender);
+    message.set_incarnation(incarnation);
+    message.mutable_unit_report()->set_sequence(sequence);
+    return message;
+}
+
 } // namespace
 
 TEST_CASE("a leader that gets more reports than it can handle renews every lease in time")
@@ -101,3 +111,26 @@
     CHECK(seen.max_answer_gap <= batch::pacing_for(fleet_size).election_timeout);
     CHECK(seen.max_waiting <= fleet_size);
 }
+
+TEST_CASE("of one process's waiting reports only the last is handled, and no other message is lost")
+{
+    const instant now = instant_at(milliseconds{1});
+    site::message_inbox inbox;
+    CHECK(inbox.push(report_from("a", "1", 1), now));
+    CHECK(!inbox.push(report_from("b", "1", 1), now));
+    wire::envelope probe;
+    probe.set_from("a");
+    probe.mutable_lead_probe();
+    CHECK(!inbox.push(probe, now));
+    CHECK(!inbox.push(report_from("a", "1", 2), now));
+    // A later process at the same address.
+    CHECK(!inbox.push(report_from("a", "2", 1), now));
+
+    const auto first = inbox.take(1, now);
+    REQUIRE(first.size() == 1);
+    CHECK(first.front().message.from() == "a");
+    CHECK(first.front().message.unit_report().sequence() == 2);
+    CHECK(!inbox.push(report_from("a", "1", 3), now));
+    CHECK(inbox.take(10, now).size() == 4);
+    CHECK(inbox.is_empty());
+}
