Let a leader's answers pace the reports about changes

Cause: an agent sent a report for each group of changes whether the one before had been answered or not, so a leader that fell behind got more messages, not fewer.

Change: while a report is unanswered, changes wait and are sent together after the answer, or with the next report at the interval. A report after which nothing is pending still goes out at once.

Test: leader_load_test "changes while a report is unanswered are sent in one report after the answer".

--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -2,6 +2,7 @@
 
 #include "chicorylift/batch/election.hpp"
 #include "chicorylift/batch/report_pacing.hpp"
+#include "chicorylift/batch/report_window.hpp"
 #include "chicorylift/batch/run_table.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 #include "chicorylift/batch/worker_liveness.hpp"
@@ -113,6 +114,7 @@
     core::instant last_report{};
     core::instant last_orders{};
     bool report_scheduled = false;
+    batch::report_window window;
     /// Pace of reports for the fleet size that the leader stated.
     batch::report_pacing pacing;
     bool unwritten_starts = false;
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -84,6 +84,7 @@
         this->predecessor_unpersisted = this->predecessor_unpersisted || this->unwritten_starts;
         this->unwritten_starts = false;
         this->leader_clock_ms = 0;
+        this->window.reset();
         // Run lists are valid only if they were read after the worker has seen the new epoch.
         this->snapshot_valid = false;
         if (this->own_leader != nullptr && this->own_leader->epoch() < new_epoch)
@@ -137,6 +138,10 @@
     {
         this->lease.on_report_acknowledged(orders.reply_to(),
                                            core::milliseconds{orders.confirmed_age_ms()});
+        if (this->window.on_answered(orders.reply_to()))
+        {
+            this->report_soon();
+        }
     }
     if (orders.members_size() > 0)
     {
@@ -261,7 +266,7 @@
 
 void agent::report_soon()
 {
-    if (this->report_scheduled)
+    if (this->report_scheduled || !this->window.may_send())
     {
         return;
     }
@@ -302,6 +307,7 @@
     report.set_leaving(this->leaving);
     report.set_lead_clock_ms(this->leader_clock_ms);
     this->lease.on_report_sent(this->report_sequence, now);
+    this->window.on_sent(this->report_sequence);
     this->last_report = now;
     this->send(this->leader_address, std::move(message));
 }
--- a/tests/leader_load_test.cpp
+++ b/tests/leader_load_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylift/batch/report_pacing.hpp"
+#include "chicorylift/batch/report_window.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 #include "site/message_inbox.hpp"
 
@@ -134,3 +135,23 @@
     CHECK(inbox.take(10, now).size() == 4);
     CHECK(inbox.is_empty());
 }
+
+TEST_CASE("changes while a report is unanswered are sent in one report after the answer")
+{
+    batch::report_window window;
+    CHECK(window.may_send());
+    window.on_sent(7);
+    CHECK(!window.may_send());
+    CHECK(!window.may_send());
+    // An answer to an earlier report.
+    CHECK(!window.on_answered(6));
+    CHECK(window.on_answered(7));
+    CHECK(window.may_send());
+    window.on_sent(8);
+    CHECK(!window.on_answered(8));
+    // A new leader owes no answer to a report that its predecessor got.
+    window.on_sent(9);
+    CHECK(!window.may_send());
+    window.reset();
+    CHECK(window.may_send());
+}
