Wait for connections without polling, and call agents that have left ever less often

Cause: while one message waited for a connection, the transport polled every 2 ms and went through all peers each time. A leader sent orders to every silent agent at each tick of 200 ms, also to those that had left for good, so after the first machine had left messages always waited.

Change: the transport waits for the sockets of peers with waiting messages to become writable. A silent agent is called after 0.2 s, 0.4 s and so on, at most every 5 s.

Tests: leader_load_test "an agent that has left is called ever less often, and one that returns at once", "a message without a connection is given back, and one after the peer starts arrives".

--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -1,10 +1,11 @@
 #include "net/transport.hpp"
 
-#include <array>
 #include <deque>
+#include <set>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <vector>
 #include <zmq.hpp>
 
 namespace chicorylift::net
@@ -16,7 +17,7 @@
 // Time that a message may wait for a connection to its peer before it is undeliverable.
 constexpr core::milliseconds undeliverable_after{400};
 constexpr core::milliseconds idle_poll_timeout{200};
-constexpr core::milliseconds waiting_poll_timeout{2};
+constexpr core::milliseconds waiting_poll_timeout{50};
 constexpr core::milliseconds peer_idle_timeout = std::chrono::minutes{5};
 constexpr core::milliseconds sweep_interval = std::chrono::seconds{10};
 constexpr int linger_ms = 200;
@@ -92,7 +93,8 @@
     zmq::context_t context{1};
     zmq::socket_t inbound;
     std::unordered_map<std::string, peer> peers;
-    std::size_t waiting{};
+    /// Addresses of the peers with waiting messages.
+    std::set<std::string> waiting_peers;
 };
 
 transport::transport(transport_settings settings, message_callback on_message_received,
@@ -154,6 +156,7 @@
         return true;
     };
 
+    /// @return whether no message waits any more.
     const auto flush = [&](const std::string& address, peer& to, core::instant now)
     {
         while (!to.waiting.empty())
@@ -163,14 +166,15 @@
             {
                 if (first.expires > now)
                 {
-                    return;
+                    return false;
                 }
                 ++this->undeliverable;
                 this->on_undeliverable(address, std::move(first.message));
             }
             to.waiting.pop_front();
-            --all.waiting;
+            --this->unsent;
         }
+        return true;
     };
 
     const auto receive_batch = [&]
@@ -214,18 +218,24 @@
                 continue;
             }
             to.waiting.push_back({std::move(next->message), now + undeliverable_after});
-            ++all.waiting;
+            all.waiting_peers.insert(next->address);
+            ++this->unsent;
         }
     };
 
     core::instant next_sweep = core::boot_clock::now() + sweep_interval;
     while (!this->stopping)
     {
-        std::array<zmq::pollitem_t, 2> items{{
+        std::vector<zmq::pollitem_t> items{
             {all.inbound.handle(), 0, ZMQ_POLLIN, 0},
             {nullptr, this->wake_fd, ZMQ_POLLIN, 0},
-        }};
-        zmq::poll(items, all.waiting > 0 ? waiting_poll_timeout : idle_poll_timeout);
+        };
+        // A peer becomes writable when its connection is complete.
+        for (const std::string& address : all.waiting_peers)
+        {
+            items.push_back({all.peers.at(address).socket.handle(), 0, ZMQ_POLLOUT, 0});
+        }
+        zmq::poll(items, all.waiting_peers.empty() ? idle_poll_timeout : waiting_poll_timeout);
         const core::instant now = core::boot_clock::now();
         if ((items[1].revents & ZMQ_POLLIN) != 0)
         {
@@ -235,14 +245,8 @@
         }
         receive_batch();
         accept_outgoing(now);
-        if (all.waiting > 0)
-        {
-            for (auto& [address, to] : all.peers)
-            {
-                flush(address, to, now);
-            }
-        }
-        this->unsent = all.waiting;
+        std::erase_if(all.waiting_peers, [&](const std::string& address)
+                      { return flush(address, all.peers.at(address), now); });
         if (now >= next_sweep)
         {
             next_sweep = now + sweep_interval;
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -314,12 +314,25 @@
     }
 }
 
-void leader::send_to_silent_agents(core::milliseconds silent_for)
+void leader::send_to_all_agents()
+{
+    for (auto& [name, state] : this->agents)
+    {
+        this->context.send(state.address, this->build_orders(name, state));
+    }
+}
+
+void leader::call_silent_agents()
 {
     const core::instant now = core::boot_clock::now();
+    const core::milliseconds interval = batch::pacing_for(this->agents.size()).interval;
     for (auto& [name, state] : this->agents)
     {
-        if (now - state.last_heard >= silent_for && !state.address.empty())
+        if (now - state.last_heard < interval + silence_margin)
+        {
+            state.calls.reset();
+        }
+        else if (state.calls.is_due(now))
         {
             this->context.send(state.address, this->build_orders(name, state));
         }
@@ -507,9 +520,9 @@
     if (reachability_changed)
     {
         // Sent to all agents at once, so that none campaigns because of a missing heartbeat.
-        this->send_to_silent_agents(core::milliseconds{0});
+        this->send_to_all_agents();
     }
-    this->send_to_silent_agents(batch::pacing_for(this->agents.size()).interval + silence_margin);
+    this->call_silent_agents();
     if (!this->leadership_verified && now - this->resumed_at > verification_timeout &&
         this->has_quorum(now))
     {
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chicorylift/batch/call_backoff.hpp"
 #include "chicorylift/batch/leadership_confirmation.hpp"
 #include "chicorylift/batch/pass_pacing.hpp"
 #include "chicorylift/batch/scheduler.hpp"
@@ -88,6 +89,7 @@
     {
         std::string address;
         core::instant last_heard{};
+        batch::call_backoff calls;
         std::uint64_t known_members_version{};
         /// Sequence of the latest report without an answer; 0 when there is none.
         std::uint64_t unanswered_report{};
@@ -111,8 +113,10 @@
     void add_answer(const std::string& agent, agent_state& state, wire::batch_orders& orders);
     void schedule_answers();
     void send_answers();
-    /// Sends orders to the agents that have not reported for at least @p silent_for.
-    void send_to_silent_agents(core::milliseconds silent_for);
+    /// Sends orders to all agents.
+    void send_to_all_agents();
+    /// Sends orders to agents whose reports are overdue, ever less often while they stay silent.
+    void call_silent_agents();
     [[nodiscard]] wire::envelope build_orders(const std::string& agent, agent_state& state);
     /// Adds the members that the agent asks before it campaigns.
     void add_probe_targets(const std::string& agent, wire::batch_orders& orders) const;
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -159,7 +159,7 @@
     this->pending_job_rows.clear();
     this->progress_rows.clear();
     this->context.metrics.increment("lead", "taken");
-    this->send_to_silent_agents(core::milliseconds{0});
+    this->send_to_all_agents();
     this->schedule_pass();
 }
 
--- a/tests/leader_load_test.cpp
+++ b/tests/leader_load_test.cpp
@@ -1,12 +1,17 @@
+#include "chicorylift/batch/call_backoff.hpp"
 #include "chicorylift/batch/report_pacing.hpp"
 #include "chicorylift/batch/report_window.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
+#include "net/transport.hpp"
 #include "site/message_inbox.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <doctest/doctest.h>
+#include <functional>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 /// A leader that gets messages faster than it handles them, in virtual time.
@@ -155,3 +160,54 @@
     window.reset();
     CHECK(window.may_send());
 }
+
+TEST_CASE("an agent that has left is called ever less often, and one that returns at once")
+{
+    batch::call_backoff calls;
+    int count = 0;
+    for (instant now = instant_at(milliseconds{1}); now < instant_at(std::chrono::seconds{20});
+         now += milliseconds{200})
+    {
+        count += calls.is_due(now) ? 1 : 0;
+    }
+    CHECK(count >= 5);
+    CHECK(count <= 9);
+    calls.reset();
+    CHECK(calls.is_due(instant_at(std::chrono::seconds{20})));
+}
+
+TEST_CASE("a message without a connection is given back, and one after the peer starts arrives")
+{
+    const std::string address = "127.0.0.1:17391";
+    std::atomic<int> undeliverable = 0;
+    std::atomic<int> received = 0;
+    net::transport_settings settings;
+    settings.listen_address = "127.0.0.1:17392";
+    settings.advertised_address = settings.listen_address;
+    net::transport sender(
+        settings, [](wire::envelope) {},
+        [&](const std::string& to, const wire::envelope&) { undeliverable += to == address; });
+    const auto wait_for = [](const std::function<bool()>& condition)
+    {
+        for (int attempt = 0; attempt < 500 && !condition(); ++attempt)
+        {
+            std::this_thread::sleep_for(milliseconds{10});
+        }
+        return condition();
+    };
+    CHECK(sender.send(address, report_from("a", "1", 1)));
+    CHECK(wait_for([&] { return undeliverable == 1; }));
+    CHECK(wait_for([&] { return sender.counters().unsent == 0; }));
+    CHECK(sender.counters().undeliverable == 1);
+
+    settings.listen_address = address;
+    const net::transport receiver(
+        settings, [&](const wire::envelope&) { ++received; },
+        [](const std::string&, const wire::envelope&) {});
+    CHECK(wait_for(
+        [&]
+        {
+            static_cast<void>(sender.send(address, report_from("a", "1", 2)));
+            return received > 0;
+        }));
+}
