Compute once per batch of answers when most agents confirmed the leader

Each message of a leader states how long ago it was confirmed. That sorted the times of all agents for each of up to 600 messages a second; answers that go out together now share the result.

--- a/include/chicorylift/batch/leadership_confirmation.hpp
+++ b/include/chicorylift/batch/leadership_confirmation.hpp
@@ -3,6 +3,7 @@
 #include "chicorylift/batch/scheduler.hpp"
 
 #include <map>
+#include <optional>
 
 namespace chicorylift::batch
 {
@@ -32,6 +33,9 @@
 private:
     core::instant store_confirmed_at{};
     std::map<agent_id, core::instant> followed_at;
+    /// When more than half of the agents confirmed the leader; empty after a change of
+    /// `followed_at`. Answers that are sent together share the result.
+    mutable std::optional<core::instant> majority_confirmed_at;
 };
 
 } // namespace chicorylift::batch
