Assume the unreported runs of an earlier leader once, not with every report

Cause (class of fault: a step that is repeated for each message, with a cost that grows with the fleet): after a leader that announced unpersisted starts, every report made the new leader mark every unreported agent in every job again, and so did every job that was loaded: jobs x jobs x agents.

Ruled out: the store, which answered the new leaders; scheduling passes, of which there were none.

Change: marked once when it becomes known, and for each job and agent that is added later.

"runs are assumed on agents that become known after the takeover too" keeps what must hold.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -247,7 +247,8 @@
     /// Registers an agent that has not reported yet; no effect when it is registered.
     void add_agent(const agent_id& agent);
     /// Assumes that every job may be running on every agent that has not reported. Needed after a
-    /// takeover from a leader that started units before their agents were persisted.
+    /// takeover from a leader that started units before their agents were persisted. Holds for jobs
+    /// and agents that are added later too.
     void assume_runs_on_unreported_agents();
 
     /// Sets the time from which the leases of agents that do not report are counted, if it is later
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "batch/scheduler_impl.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorylift::batch
 {
@@ -167,7 +168,7 @@
     }
     if (this->inner->assume_unreported_runs)
     {
-        this->assume_runs_on_unreported_agents();
+        this->inner->assume_runs_of(job);
     }
 }
 
@@ -197,16 +198,14 @@
 
 void site_scheduler::assume_runs_on_unreported_agents()
 {
-    this->inner->assume_unreported_runs = true;
+    if (std::exchange(this->inner->assume_unreported_runs, true))
+    {
+        // Jobs and workers that were added since then have been treated when they were added.
+        return;
+    }
     for (auto& [id, job] : this->inner->jobs)
     {
-        for (const auto& [agent, worker] : this->inner->workers)
-        {
-            if (!worker.reconciled && !worker.lost)
-            {
-                job.unreconciled_agents.insert(agent);
-            }
-        }
+        this->inner->assume_runs_of(job);
     }
 }
 
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -37,6 +37,8 @@
                              const std::set<std::pair<run_number, std::int64_t>>& listed,
                              bool restarted, core::instant now);
     void mark_reconciled(worker_state& worker);
+    /// Assumes that the job may be running on every agent that has not reported.
+    void assume_runs_of(job_state& job);
     void mark_worker_lost(worker_state& worker, std::string_view reason, core::instant now);
 
     // Ended runs (scheduler_runs.cpp).
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -28,6 +28,13 @@
     {
         found->second.agent = agent;
         found->second.index = this->workers.size() - 1;
+        if (this->assume_unreported_runs)
+        {
+            for (auto& [id, job] : this->jobs)
+            {
+                job.unreconciled_agents.insert(agent);
+            }
+        }
     }
     return found->second;
 }
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -30,6 +30,17 @@
 
 } // namespace
 
+void site_scheduler::implementation::assume_runs_of(job_state& job)
+{
+    for (const auto& [agent, worker] : this->workers)
+    {
+        if (!worker.reconciled && !worker.lost)
+        {
+            job.unreconciled_agents.insert(agent);
+        }
+    }
+}
+
 void site_scheduler::implementation::on_report(const worker_report& report, core::instant now)
 {
     worker_state& worker = this->get_or_create_worker(report.agent);
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -7,6 +7,7 @@
 #include "chicorylift/batch/worker_lease.hpp"
 
 #include <algorithm>
+#include <ctime>
 #include <doctest/doctest.h>
 #include <set>
 #include <string>
@@ -226,6 +227,50 @@
     CHECK(passes.delay(now) > milliseconds{0});
 }
 
+// A leader has 0.15 of a core, and other agents suspect it after 2.4 s without its orders.
+TEST_CASE("a leader is not silent for longer than the election timeout while it takes over "
+          "unpersisted starts")
+{
+    constexpr int jobs = 300;
+    constexpr int agents = 340;
+    constexpr double core_share = 0.15;
+    const std::clock_t start = std::clock();
+    site_scheduler scheduler(settings_of_epoch(2), instant_at(milliseconds{0}));
+    for (int number = 0; number < agents; ++number)
+    {
+        scheduler.add_agent(agent_id("side-" + std::to_string(number)));
+    }
+    scheduler.assume_runs_on_unreported_agents();
+    for (int number = 0; number < jobs; ++number)
+    {
+        job_spec job = one_unit_job();
+        job.id = core::job_id("j" + std::to_string(number));
+        scheduler.add_job(job, {}, false, instant_at(milliseconds{10}));
+    }
+    for (int number = 0; number < agents; ++number)
+    {
+        scheduler.assume_runs_on_unreported_agents();
+        scheduler.on_report(report_of("side-" + std::to_string(number)),
+                            instant_at(milliseconds{20}));
+    }
+    const double seconds = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC / core_share;
+    CHECK(seconds * 1000 < pacing_for(agents).election_timeout.count());
+}
+
+TEST_CASE("runs are assumed on agents that become known after the takeover too")
+{
+    site_scheduler scheduler(settings_of_epoch(2), instant_at(milliseconds{0}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10}));
+    scheduler.on_report(report_of("a"), instant_at(milliseconds{10}));
+    scheduler.on_renewal_sent(agent_id("a"), instant_at(milliseconds{10}));
+    scheduler.assume_runs_on_unreported_agents();
+    scheduler.add_agent(agent_id("late"));
+    scheduler.assume_runs_on_unreported_agents();
+    CHECK(scheduler.schedule(instant_at(milliseconds{20}), {}, true).empty());
+    scheduler.on_report(report_of("late"), instant_at(milliseconds{30}));
+    CHECK(scheduler.schedule(instant_at(milliseconds{40}), {}, true).size() == 1);
+}
+
 TEST_CASE("a start whose agent has been persisted does not wait for the next scheduling pass")
 {
     site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
