Forget persisted ends, so that an answer's cost does not grow with a leader's age

The leader kept every end that a worker had listed since the worker's start, and looked up the job of each for every message to its agent. Ends whose jobs are persisted are now erased when they are met.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -285,7 +285,7 @@
     void on_persisted(const core::job_id& job, std::uint64_t version);
     /// @return the worker's start time, and the number of the last ended run that it may remove
     ///         from its list.
-    [[nodiscard]] std::pair<unix_time, std::uint64_t> acknowledged_end(const agent_id& agent) const;
+    [[nodiscard]] std::pair<unix_time, std::uint64_t> acknowledged_end(const agent_id& agent);
 
     /// @return the job's outcome; empty when the job is not present. A job that is cancelled before
     ///         it ends stays unfinished until it is removed.
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -326,22 +326,25 @@
     }
 }
 
-std::pair<unix_time, std::uint64_t> site_scheduler::acknowledged_end(const agent_id& agent) const
+std::pair<unix_time, std::uint64_t> site_scheduler::acknowledged_end(const agent_id& agent)
 {
     const auto found = this->inner->workers.find(agent);
     if (found == this->inner->workers.end())
     {
         return {};
     }
-    const worker_state& worker = found->second;
-    for (const auto& [number, change] : worker.pending_ends)
+    worker_state& worker = found->second;
+    while (!worker.pending_ends.empty())
     {
+        const auto& [number, change] = *worker.pending_ends.begin();
         const auto job = this->inner->jobs.find(change.first);
         if (job != this->inner->jobs.end() && !job->second.cancelled &&
             job->second.persisted_version < change.second)
         {
             return {worker.info.started_at, number - 1};
         }
+        // A persisted end stays persisted, so it is not looked at again.
+        worker.pending_ends.erase(worker.pending_ends.begin());
     }
     return {worker.info.started_at, worker.highest_end};
 }
