--- a/src/batch/scheduler_preemption.cpp
+++ b/src/batch/scheduler_preemption.cpp
@@ -187,7 +187,10 @@
     {
         this->stop_run(this->runs.at(number), "preempted for job " + group.job->spec.id.str());
     }
-    this->victims.reset();
+    if (!plan->preempted_runs.empty())
+    {
+        this->victims.reset();
+    }
     const resource_amount request = step.resource_request();
     preemption_reservation& reservation = this->preemption_reservations[reservation_key(group)];
     reservation.guaranteed = group.guaranteed;
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -290,12 +290,10 @@
     CHECK(scheduler.placement_attempts() <= 8 + jobs);
 }
 
-TEST_CASE("the units of a wide step that fits cost one placement attempt together")
+/// Schedules one step of the given number of units on 12 workers with room for 8 units each.
+void schedule_wide_step(site_scheduler& scheduler, std::int64_t units)
 {
-    constexpr int workers = 12;
-    constexpr int units = 90;
-    site_scheduler scheduler({}, instant_at(milliseconds{0}));
-    for (int number = 0; number < workers; ++number)
+    for (int number = 0; number < 12; ++number)
     {
         worker_report report;
         report.agent = agent_id("w" + std::to_string(number));
@@ -317,10 +315,24 @@
     job.steps.push_back(step);
     scheduler.add_job(job, {}, false, instant_at(milliseconds{11}));
     static_cast<void>(scheduler.schedule(instant_at(milliseconds{20}), milliseconds{0}, false));
-    CHECK(scheduler.active_runs() == units);
+}
+
+TEST_CASE("the units of a wide step that fits cost one placement attempt together")
+{
+    site_scheduler scheduler({}, instant_at(milliseconds{0}));
+    schedule_wide_step(scheduler, 90);
+    CHECK(scheduler.active_runs() == 90);
     CHECK(scheduler.placement_attempts() == 1);
 }
 
+TEST_CASE("of a step wider than the site the units that fit are placed")
+{
+    site_scheduler scheduler({}, instant_at(milliseconds{0}));
+    schedule_wide_step(scheduler, 120);
+    CHECK(scheduler.active_runs() == 96);
+    CHECK(scheduler.placement_attempts() == 2);
+}
+
 /// A scheduler with a single worker, which one unit fills completely, and a first job "j".
 class single_worker_site
 {
