Wake one reader of the inbox, try only writable peers, and call silent agents each second

The inbox now remembers that its reader is awake. - Each arriving message made the transport serialise and try the first message of every peer that waits for a connection. Only peers whose socket is writable are tried. - After 1.4 s a silent agent was called only at 3.0 s, most of a lease after a takeover during which its connection was slow.

--- a/include/chicorylift/batch/call_backoff.hpp
+++ b/include/chicorylift/batch/call_backoff.hpp
@@ -7,7 +7,7 @@
 
 /// Decides when a leader sends orders to an agent whose reports are overdue.
 ///
-/// A restarted agent thus finds its leader soon, and one that has left costs less and less.
+/// A restarted agent thus finds its leader soon, and one that has left costs little.
 class call_backoff
 {
 public:
--- a/src/batch/call_backoff.cpp
+++ b/src/batch/call_backoff.cpp
@@ -9,8 +9,9 @@
 {
 
 constexpr core::milliseconds min_interval{200};
-// A later call finds an agent that was cut off; one that restarts reads its leader from the store.
-constexpr core::milliseconds max_interval{5000};
+// A fifth of a lease: while many agents connect at a takeover, a call may come before its
+// connection is complete.
+constexpr core::milliseconds max_interval{1000};
 
 } // namespace
 
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -156,13 +156,14 @@
         return true;
     };
 
+    /// @param writable whether the peer's socket takes messages.
     /// @return whether no message waits any more.
-    const auto flush = [&](const std::string& address, peer& to, core::instant now)
+    const auto flush = [&](const std::string& address, peer& to, bool writable, core::instant now)
     {
         while (!to.waiting.empty())
         {
             waiting_message& first = to.waiting.front();
-            if (!try_send(to, first.message))
+            if (!writable || !try_send(to, first.message))
             {
                 if (first.expires > now)
                 {
@@ -231,7 +232,8 @@
             {nullptr, this->wake_fd, ZMQ_POLLIN, 0},
         };
         // A peer becomes writable when its connection is complete.
-        for (const std::string& address : all.waiting_peers)
+        const std::vector<std::string> polled(all.waiting_peers.begin(), all.waiting_peers.end());
+        for (const std::string& address : polled)
         {
             items.push_back({all.peers.at(address).socket.handle(), 0, ZMQ_POLLOUT, 0});
         }
@@ -244,9 +246,16 @@
             this->wake_pending = false;
         }
         receive_batch();
+        const std::size_t first_peer = items.size() - polled.size();
+        for (std::size_t index = 0; index < polled.size(); ++index)
+        {
+            const bool writable = (items[first_peer + index].revents & ZMQ_POLLOUT) != 0;
+            if (flush(polled[index], all.peers.at(polled[index]), writable, now))
+            {
+                all.waiting_peers.erase(polled[index]);
+            }
+        }
         accept_outgoing(now);
-        std::erase_if(all.waiting_peers, [&](const std::string& address)
-                      { return flush(address, all.peers.at(address), now); });
         if (now >= next_sweep)
         {
             next_sweep = now + sweep_interval;
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -69,7 +69,7 @@
     {
         this->receive(each.message);
     }
-    if (!this->inbox.is_empty())
+    if (this->inbox.needs_reader())
     {
         this->loop.post([this] { this->receive_waiting(); });
     }
--- a/src/site/message_inbox.cpp
+++ b/src/site/message_inbox.cpp
@@ -20,20 +20,20 @@
 bool message_inbox::push(wire::envelope message, core::instant now)
 {
     const std::lock_guard lock(this->guard);
-    const bool was_empty = this->messages.empty();
+    const bool wake = !std::exchange(this->reader_woken, true);
     if (!message.has_unit_report())
     {
         this->messages.push_back({std::move(message), now});
-        return was_empty;
+        return wake;
     }
     const auto [known, is_new] = this->reports.try_emplace(sender_of(message));
     if (!is_new)
     {
         known->second->message = std::move(message);
-        return was_empty;
+        return wake;
     }
     known->second = this->messages.insert(this->messages.end(), {std::move(message), now});
-    return was_empty;
+    return wake;
 }
 
 std::vector<waiting_message> message_inbox::take(std::size_t max_count, core::instant now)
@@ -54,10 +54,11 @@
     return taken;
 }
 
-bool message_inbox::is_empty()
+bool message_inbox::needs_reader()
 {
     const std::lock_guard lock(this->guard);
-    return this->messages.empty();
+    this->reader_woken = !this->messages.empty();
+    return this->reader_woken;
 }
 
 inbox_load message_inbox::take_load()
--- a/src/site/message_inbox.hpp
+++ b/src/site/message_inbox.hpp
@@ -38,11 +38,13 @@
 public:
     /// Appends a message, or replaces the waiting report of the same process. The report keeps its
     /// place and its time of arrival then.
-    /// @return whether the inbox was empty, so that its reader must be woken.
+    /// @return whether the reader must be woken: it is not when it has been, and has not found the
+    /// inbox empty since.
     [[nodiscard]] bool push(wire::envelope message, core::instant now);
     /// @return at most @p max_count messages, oldest first.
     [[nodiscard]] std::vector<waiting_message> take(std::size_t max_count, core::instant now);
-    [[nodiscard]] bool is_empty();
+    /// Asks whether the reader must come again. If not, the next message wakes it.
+    [[nodiscard]] bool needs_reader();
     /// @return the inbox's state; resets the longest delay.
     [[nodiscard]] inbox_load take_load();
 
@@ -52,6 +54,7 @@
     /// Waiting reports by the process that sent them.
     std::unordered_map<std::string, std::list<waiting_message>::iterator> reports;
     core::milliseconds max_delay{};
+    bool reader_woken = false;
 };
 
 } // namespace chicorylift::site
