Send stops and placed starts without waiting for a scheduling pass

Passes now keep to their share, so a stop or a repeated command, sent by passes only, could wait for the rest after one. A cancellation sends its stops at once, and each tick sends what is due. A write in flight is looked at before the list of unwritten jobs is built.

Test: batch_takeover_test "the stop of a cancelled job does not wait for the next scheduling pass".

--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -382,6 +382,15 @@
     this->context.metrics.increment("placing", "tries", this->scheduler.placement_attempts());
 }
 
+void leader::send_due_commands()
+{
+    if (this->may_schedule())
+    {
+        this->send_orders(
+            this->scheduler.due_commands(core::boot_clock::now(), this->may_start_unpersisted()));
+    }
+}
+
 void leader::log_records()
 {
     for (const batch::decision_record& record : this->scheduler.take_records())
@@ -532,6 +541,7 @@
     }
     if (this->loaded)
     {
+        this->send_due_commands();
         this->schedule_pass();
         this->trim();
     }
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -105,6 +105,8 @@
     void load_jobs_if_ready();
     void schedule_pass();
     void run_pass();
+    /// Sends the starts and stops that need no scheduling pass.
+    void send_due_commands();
     void tick();
     void detect_process_pause();
     void verify_leadership();
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -86,6 +86,7 @@
     {
         this->cancel_rows[key->job] = true;
         this->scheduler.cancel_job(key->job);
+        this->send_due_commands();
         this->schedule_pass();
     }
     else if (key->kind == job_row_kind::progress && !this->loaded)
@@ -166,10 +167,14 @@
 void leader::write_progress()
 {
     const core::instant now = core::boot_clock::now();
+    if (this->write_in_flight)
+    {
+        return;
+    }
     const std::vector<core::job_id> jobs = this->scheduler.unpersisted_jobs();
-    if (this->write_in_flight || jobs.empty())
+    if (jobs.empty())
     {
-        if (jobs.empty() && !this->store_health.not_writable &&
+        if (!this->store_health.not_writable &&
             now - this->guard.followed_since() > lease_timeout(this->context.values))
         {
             this->guard.announce_unpersisted_starts(false);
@@ -250,11 +255,8 @@
         break;
     }
     this->detect_process_pause();
-    if (this->may_schedule())
-    {
-        // Starts that waited for this write do not wait for the next pass too.
-        this->send_orders(this->scheduler.due_commands(now, this->may_start_unpersisted()));
-    }
+    // Starts that waited for this write do not wait for the next pass too.
+    this->send_due_commands();
     this->schedule_pass();
 }
 
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -227,6 +227,20 @@
     CHECK(passes.delay(now) > milliseconds{0});
 }
 
+TEST_CASE("the stop of a cancelled job does not wait for the next scheduling pass")
+{
+    const unit_key unit{core::job_id("j"), 0, 0, 0};
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{0}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{1990}));
+    scheduler.on_report(report_of("a"), instant_at(milliseconds{1990}));
+    scheduler.on_renewal_sent(agent_id("a"), instant_at(milliseconds{1990}));
+    REQUIRE(scheduler.schedule(instant_at(milliseconds{2000}), {}, true).size() == 1);
+    scheduler.cancel_job(unit.job);
+    const auto commands = scheduler.due_commands(instant_at(milliseconds{2001}), false);
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().what == agent_command::action::stop);
+}
+
 // A leader has 0.15 of a core, and other agents suspect it after 2.4 s without its orders.
 TEST_CASE("a leader is not silent for longer than the election timeout while it takes over "
           "unpersisted starts")
