--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -112,6 +112,7 @@
     /// of this one's reports.
     std::uint64_t report_sequence{};
     core::instant last_report{};
+    /// When the leader's orders last arrived.
     core::instant last_orders{};
     bool report_scheduled = false;
     batch::report_window window;
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -6,6 +6,7 @@
 #include "site/config_row.hpp"
 #include "site/row_codec.hpp"
 #include "support/events.hpp"
+#include "support/stopwatch.hpp"
 #include "support/unix_clock.hpp"
 
 #include <algorithm>
@@ -20,7 +21,6 @@
 namespace events = support::events;
 
 constexpr core::milliseconds tick_interval{200};
-constexpr core::milliseconds load_line_interval{1000};
 constexpr core::milliseconds config_wait{3000};
 // A silent store is detected only when a watch times out, so this wait is short.
 constexpr core::milliseconds job_wait{1000};
@@ -49,26 +49,6 @@
 constexpr std::int64_t clock_error_percent = 2;
 constexpr std::int64_t percent = 100;
 
-/// Adds the time until the end of the scope to a total.
-class stopwatch
-{
-public:
-    explicit stopwatch(std::chrono::microseconds& total) : total(total) {}
-    ~stopwatch() { this->total += this->elapsed(); }
-    stopwatch(const stopwatch&) = delete;
-    stopwatch& operator=(const stopwatch&) = delete;
-
-    [[nodiscard]] std::chrono::microseconds elapsed() const
-    {
-        return std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::steady_clock::now() - this->start);
-    }
-
-private:
-    std::chrono::microseconds& total;
-    std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
-};
-
 batch::scheduler_settings scheduler_settings_from(const settings& values, std::uint64_t epoch)
 {
     batch::scheduler_settings result;
@@ -163,7 +143,7 @@
         this->on_observed_epoch(report.epoch());
         return;
     }
-    const stopwatch watch(this->work.report_time);
+    const support::stopwatch watch(this->work.report_time);
     ++this->work.reports;
     this->detect_process_pause();
     const core::instant now = core::boot_clock::now();
@@ -296,7 +276,7 @@
     {
         return;
     }
-    const stopwatch watch(this->work.answer_time);
+    const support::stopwatch watch(this->work.answer_time);
     for (auto& [name, state] : this->agents)
     {
         if (state.unanswered_report != 0)
@@ -367,7 +347,7 @@
         return;
     }
     this->scheduler.count_leases_from(this->guard.followed_since());
-    const stopwatch watch(this->work.pass_time);
+    const support::stopwatch watch(this->work.pass_time);
     const std::vector<batch::agent_command> orders =
         this->scheduler.schedule(now, support::unix_now(), this->may_start_unpersisted());
     this->log_records();
@@ -408,55 +388,6 @@
     }
 }
 
-void leader::log_load()
-{
-    const core::instant now = core::boot_clock::now();
-    if (now < this->next_load_line)
-    {
-        return;
-    }
-    this->next_load_line = now + load_line_interval;
-    const message_load messages = this->context.take_message_load();
-    const net::transport_counters& totals = messages.totals;
-    const auto milliseconds_of = [](std::chrono::microseconds time)
-    { return std::chrono::duration_cast<core::milliseconds>(time).count(); };
-    std::uint64_t heard = 0;
-    for (const auto& [name, state] : this->agents)
-    {
-        heard += now - state.last_heard < batch::pacing_for(this->agents.size()).election_timeout;
-    }
-    events::write("lead_load",
-                  {{"epoch", this->my_epoch},
-                   {"agents", static_cast<std::uint64_t>(this->agents.size())},
-                   {"heard", heard},
-                   {"received", totals.messages_received - this->logged_totals.messages_received},
-                   {"received_bytes", totals.bytes_received - this->logged_totals.bytes_received},
-                   {"waiting", static_cast<std::uint64_t>(messages.inbox.waiting)},
-                   {"max_message_delay_ms", messages.inbox.max_delay.count()},
-                   {"reports", this->work.reports},
-                   {"report_ms", milliseconds_of(this->work.report_time)},
-                   {"answers", this->work.answers},
-                   {"answer_ms", milliseconds_of(this->work.answer_time)},
-                   {"passes", this->work.passes},
-                   {"pass_ms", milliseconds_of(this->work.pass_time)},
-                   {"max_pass_ms", milliseconds_of(this->work.max_pass_time)},
-                   {"placement_attempts", this->work.placement_attempts},
-                   {"pending_units", static_cast<std::uint64_t>(this->scheduler.pending_units())},
-                   {"runs", static_cast<std::uint64_t>(this->scheduler.active_runs())},
-                   {"unpersisted_jobs",
-                    static_cast<std::uint64_t>(this->scheduler.unpersisted_jobs().size())},
-                   {"writes", this->work.writes},
-                   {"max_write_ms", this->work.max_write_time.count()},
-                   {"max_tick_delay_ms", this->work.max_tick_delay.count()},
-                   {"sent", totals.messages_sent - this->logged_totals.messages_sent},
-                   {"sent_bytes", totals.bytes_sent - this->logged_totals.bytes_sent},
-                   {"unsent", totals.unsent},
-                   {"undeliverable", totals.undeliverable - this->logged_totals.undeliverable},
-                   {"rejected", totals.rejected - this->logged_totals.rejected}});
-    this->work = {};
-    this->logged_totals = totals;
-}
-
 void leader::send_orders(const std::vector<batch::agent_command>& orders)
 {
     std::map<std::string, wire::envelope> messages;
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -117,7 +117,7 @@
     void send_answers();
     /// Sends orders to all agents.
     void send_to_all_agents();
-    /// Sends orders to agents whose reports are overdue, ever less often while they stay silent.
+    /// Sends orders to agents whose reports are overdue; see batch::call_backoff.
     void call_silent_agents();
     [[nodiscard]] wire::envelope build_orders(const std::string& agent, agent_state& state);
     /// Adds the members that the agent asks before it campaigns.
