--- a/tests/leader_load_test.cpp
+++ b/tests/leader_load_test.cpp
@@ -191,7 +191,7 @@
     settings.listen_address = testing::free_address();
     settings.advertised_address = settings.listen_address;
     net::transport sender(
-        settings, [](wire::envelope) {},
+        settings, [](const wire::envelope&) {},
         [&](const std::string& to, const wire::envelope&) { undeliverable += to == address; });
     const auto wait_for = [](const std::function<bool()>& condition)
     {
