--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -275,10 +275,14 @@
     return result;
 }
 
-store::store(const std::string& address)
+store::store(const std::vector<std::pair<std::string, std::int64_t>>& addresses)
 {
-    this->server = std::make_unique<http_server>(
-        address, [this](const http_server::request& request) { return this->serve(request); });
+    for (const auto& [address, latency] : addresses)
+    {
+        this->servers.push_back(std::make_unique<http_server>(
+            address, [this, time = latency](const http_server::request& request)
+            { return this->serve(request, time); }));
+    }
 }
 
 void store::set_busy(bool value)
@@ -295,9 +299,8 @@
     this->changed.notify_all();
 }
 
-http_server::response store::serve(const http_server::request& request)
+http_server::response store::serve(const http_server::request& request, std::int64_t latency_ms)
 {
-    constexpr std::int64_t latency_ms = 4;
     if (this->busy)
     {
         return {503, "{}", false};
@@ -648,7 +651,7 @@
     const std::string name = there == this->live.end() ? unit : unit + "#" + std::to_string(number);
     live_run fresh;
     fresh.record = this->all.size();
-    fresh.done_at = now_ms() + this->work_ms(unit, spec);
+    fresh.done_at = now_ms() + this->work_ms(this->values.id, unit, spec);
     this->live[name] = fresh;
     run_record run;
     run.unit = unit;
@@ -893,8 +896,16 @@
 {
     std::string pattern = std::filesystem::temp_directory_path() / "review-XXXXXX";
     this->folder = ::mkdtemp(pattern.data());
-    const std::string store_address = free_address();
-    this->platform = std::make_unique<store>(store_address);
+    constexpr std::int64_t near_ms = 4;
+    std::vector<std::pair<std::string, std::int64_t>> stores{{free_address(), near_ms}};
+    for (int index = 0; index < wanted.agents; ++index)
+    {
+        const auto position = static_cast<std::size_t>(index);
+        stores.emplace_back(free_address(), position < wanted.store_ms.size()
+                                                ? wanted.store_ms[position]
+                                                : near_ms);
+    }
+    this->platform = std::make_unique<store>(stores);
     this->platform->put(
         "op", "config",
         R"({"version":3,"routes":[{"name":"q","host":"jobs.example","pathPrefix":"/q/",)"
@@ -904,8 +915,8 @@
         R"("idleTimeoutMs":15000},"tenants":[{"name":"a","apiKeys":["key-a"],)"
         R"("guaranteed":{"gpu":8}}]})");
     // deploy/settings.template with the bounds of sites/menhely-sched.toml.
-    const auto write_settings = [this, &store_address](const std::string& name,
-                                                       const std::string& own)
+    const auto write_settings = [this](const std::string& name, const std::string& store_address,
+                                       const std::string& own)
     {
         std::string path = this->folder + "/" + name + ".settings";
         std::ofstream(path) << "name = \"" << name << "\"\nzone = \"zone-a\"\nregion = \"region\"\n"
@@ -930,7 +941,8 @@
         }
         const std::string name = "agent-" + std::to_string(index);
         const std::string settings = write_settings(
-            name, "control = \"" + values.control + "\"\nworker = \"" + values.address + "\"\n");
+            name, stores[static_cast<std::size_t>(index) + 1].first,
+            "control = \"" + values.control + "\"\nworker = \"" + values.address + "\"\n");
         this->controls.push_back(values.control);
         this->workers.push_back(std::make_unique<worker>(values, work_ms));
         this->agents.push_back(
@@ -942,7 +954,7 @@
         this->fronts.push_back(free_address());
         this->readies.push_back(free_address());
         const std::string settings =
-            write_settings(name, "front = \"" + this->fronts.back() + "\"\nready = \"" +
+            write_settings(name, stores.front().first, "front = \"" + this->fronts.back() + "\"\nready = \"" +
                                      this->readies.back() + "\"\n");
         this->entries.push_back(
             std::make_unique<process>("entry", settings, this->folder + "/" + name + ".log"));
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -82,7 +82,9 @@
 class store
 {
 public:
-    explicit store(const std::string& address);
+    /// @param addresses addresses and the time that each takes for an answer: 4 ms, and the way
+    /// there and back.
+    explicit store(const std::vector<std::pair<std::string, std::int64_t>>& addresses);
     /// While set, every call is refused with 503: nothing is done.
     void set_busy(bool busy);
     /// Writes a row as the operator does.
@@ -97,7 +99,7 @@
     };
     using name = std::tuple<std::string, std::string, std::string>;
 
-    http_server::response serve(const http_server::request& request);
+    http_server::response serve(const http_server::request& request, std::int64_t latency_ms);
     http_server::response transact(const std::string& text);
     http_server::response read(const http_server::request& request);
     http_server::response feed(const http_server::request& request);
@@ -108,7 +110,7 @@
     std::map<name, row> rows;
     std::uint64_t version = 1;
     std::atomic<bool> busy = false;
-    std::unique_ptr<http_server> server;
+    std::vector<std::unique_ptr<http_server>> servers;
 };
 
 /// One start of a work unit on a worker.
@@ -153,8 +155,9 @@
         std::int64_t heartbeat_ms = 1500;
         std::int64_t stop_ms = 100;
     };
-    /// @return how long a unit works, by the name of the unit and its spec.
-    using duration = std::function<std::int64_t(const std::string& unit, const std::string& spec)>;
+    /// @return how long a unit works, by its worker, its name and its spec.
+    using duration = std::function<std::int64_t(
+        const std::string& worker, const std::string& unit, const std::string& spec)>;
 
     worker(settings values, duration work_ms);
     ~worker();
@@ -242,6 +245,8 @@
         int entries = 1;
         int agents = 3;
         std::vector<worker_kind> kinds;
+        /// Time that an agent's call to the store takes; 4 ms for those not named.
+        std::vector<std::int64_t> store_ms;
     };
     site(const plan& wanted, const worker::duration& work_ms);
     ~site();
