--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -651,7 +651,12 @@
     const std::string name = there == this->live.end() ? unit : unit + "#" + std::to_string(number);
     live_run fresh;
     fresh.record = this->all.size();
-    fresh.done_at = now_ms() + this->work_ms(this->values.id, unit, spec);
+    const work does = this->work_ms(this->values.id, unit, spec);
+    fresh.done_at = now_ms() + does.ms;
+    fresh.fails = does.fails;
+    fresh.saves = does.saves;
+    const auto checkpoint = body.optValue<std::string>("checkpoint", "");
+    fresh.resumed_ms = checkpoint.empty() ? 0 : std::stoll(checkpoint, nullptr, 16);
     this->live[name] = fresh;
     run_record run;
     run.unit = unit;
@@ -716,7 +721,7 @@
         Array::Ptr entry(new Array);
         entry->add(run.unit);
         entry->add(run.run);
-        entry->add(std::string{});
+        entry->add(this->saved(each));
         entry->add(std::min<std::int64_t>(99, (now_ms() - run.started) * 100 / whole));
         running->add(entry);
     }
@@ -729,7 +734,7 @@
         entry->add(run.unit);
         entry->add(run.run);
         entry->add(run.how);
-        entry->add(std::string{});
+        entry->add(run.saved);
         finished->add(entry);
     }
     Object answer;
@@ -740,6 +745,18 @@
     return {200, text_of(answer), false};
 }
 
+std::string worker::saved(const live_run& each) const
+{
+    constexpr std::int64_t interval_ms = 500;
+    constexpr int digits = 16;
+    const std::int64_t worked = now_ms() - this->all[each.record].started;
+    const std::int64_t kept = each.resumed_ms + worked / interval_ms * interval_ms;
+    std::ostringstream text;
+    text << std::hex << kept;
+    const std::string number = text.str();
+    return each.saves && kept > 0 ? std::string(digits - number.size(), '0') + number : "";
+}
+
 void worker::finish(const std::string& name, const std::string& how)
 {
     const live_run ended = this->live.at(name);
@@ -747,6 +764,7 @@
     run_record& run = this->all[ended.record];
     run.ended = now_ms();
     run.how = how;
+    run.saved = this->saved(ended);
     std::uint64_t& barrier = this->barred[run.unit];
     barrier = std::max(barrier, run.run);
     this->ends.push_back({this->next_end++, ended.record});
@@ -770,7 +788,7 @@
         }
         else if (now_ms() >= each.done_at)
         {
-            due.emplace_back(name, "done");
+            due.emplace_back(name, each.fails ? "failed" : "done");
         }
     }
     if (lapsed)
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -123,6 +123,7 @@
     std::int64_t started{};
     std::int64_t ended = -1;
     std::string how;
+    std::string saved;
     /// The end reached lastSeen.
     bool noted = false;
     /// The worker's lease lapsed, or the worker crashed, before the end was noted.
@@ -138,6 +139,21 @@
     std::int64_t gpu = 8;
 };
 
+/// What a work unit does on a worker.
+struct work
+{
+    work(std::int64_t time_ms, bool fails_then = false, bool saves_state = false)
+        : ms(time_ms), fails(fails_then), saves(saves_state)
+    {
+    }
+
+    std::int64_t ms;
+    /// Ends `failed` after that time, not `done`.
+    bool fails;
+    /// Produces a checkpoint each half second.
+    bool saves;
+};
+
 /// A worker of the service "svc".
 class worker
 {
@@ -155,9 +171,9 @@
         std::int64_t heartbeat_ms = 1500;
         std::int64_t stop_ms = 100;
     };
-    /// @return how long a unit works, by its worker, its name and its spec.
-    using duration = std::function<std::int64_t(
-        const std::string& worker, const std::string& unit, const std::string& spec)>;
+    /// @return what a unit does, by its worker, its name and its spec.
+    using duration = std::function<work(const std::string& worker, const std::string& unit,
+                                        const std::string& spec)>;
 
     worker(settings values, duration work_ms);
     ~worker();
@@ -179,6 +195,10 @@
         std::size_t record{};
         std::int64_t done_at{};
         std::int64_t stop_at = -1;
+        bool fails = false;
+        bool saves = false;
+        /// Work in the checkpoint that it started from.
+        std::int64_t resumed_ms{};
     };
     struct listed_end
     {
@@ -192,6 +212,7 @@
     http_server::response on_hold(Poco::JSON::Object& body, std::unique_lock<std::mutex>& lock);
     [[nodiscard]] http_server::response plain(int status, const std::string& reason) const;
     [[nodiscard]] std::int64_t clock() const;
+    [[nodiscard]] std::string saved(const live_run& each) const;
     void finish(const std::string& unit, const std::string& how);
     void advance();
     void tick();
