--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -14,7 +14,8 @@
     site::plan plan;
     plan.kinds = {{.label = "b"}, {.label = "a"}, {.label = "a"}};
     // The units of a job work 7 to 11 s.
-    site place(plan, [](const std::string&, const std::string& unit, const std::string&) -> std::int64_t
+    site place(plan,
+               [](const std::string&, const std::string& unit, const std::string&) -> std::int64_t
                { return 7000 + static_cast<std::int64_t>(std::hash<std::string>{}(unit) % 4000); });
     if (!place.wait_until_serving())
     {
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -18,7 +18,8 @@
     record::open("review/3/record.txt");
     site::plan plan;
     plan.agents = agents;
-    site place(plan, [](const std::string&, const std::string&, const std::string& spec) -> std::int64_t
+    site place(plan,
+               [](const std::string&, const std::string&, const std::string& spec) -> std::int64_t
                { return spec == "first" ? first_work_ms : second_work_ms; });
     if (!place.wait_until_serving())
     {
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -9,7 +9,9 @@
     constexpr std::int64_t finish_ms = 14'000;
     constexpr std::int64_t stuck_ms = 3000;
     record::open("review/4/record.txt");
-    site place({}, [](const std::string&, const std::string&, const std::string&) -> std::int64_t { return work_ms; });
+    site place({},
+               [](const std::string&, const std::string&, const std::string&) -> std::int64_t
+               { return work_ms; });
     if (!place.wait_until_serving())
     {
         return not_run;
@@ -36,8 +38,8 @@
             R"("slots":8,"state":"ready","coldLeftMs":0,"capacity":{"cpu":1000,"memMb":1000,)"
             R"("gpu":0},"labels":["a","r9"],"clockMs":1000,"seq":1,"born":)" +
             std::to_string(unix_ms()) + "}";
-        const answer got = call(place.control(target), "PUT", "/v1/instances/i-other", report, {},
-                                1000);
+        const answer got =
+            call(place.control(target), "PUT", "/v1/instances/i-other", report, {}, 1000);
         record::line("another writer: PUT /v1/instances/i-other at agent-" +
                      std::to_string(target) + " -> " + std::to_string(got.status));
     }
@@ -61,7 +63,6 @@
                  " units of a later job");
     place.record_runs();
     const bool lost = idle && shown != "completed";
-    record::line(lost ? "LOST: the job has nothing running and is not completed"
-                      : "the rule held");
+    record::line(lost ? "LOST: the job has nothing running and is not completed" : "the rule held");
     return lost ? broken : held;
 }
--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -69,8 +69,8 @@
         const std::size_t count = std::min<std::size_t>(3, text.size() - at);
         for (std::size_t index = 0; index < 3; ++index)
         {
-            group = group << 8U |
-                    (index < count ? static_cast<unsigned char>(text[at + index]) : 0U);
+            group =
+                group << 8U | (index < count ? static_cast<unsigned char>(text[at + index]) : 0U);
         }
         for (std::size_t index = 0; index < 4; ++index)
         {
@@ -139,8 +139,7 @@
         }
         catch (const std::exception& fault)
         {
-            record::line("stand-in: " + request.method + " " + from.getURI() + ": " +
-                         fault.what());
+            record::line("stand-in: " + request.method + " " + from.getURI() + ": " + fault.what());
             response.status = 400;
         }
         if (response.drop)
@@ -498,9 +497,9 @@
 {
     this->born = unix_ms();
     this->clock_start = now_ms() - 1;
-    this->server = std::make_unique<http_server>(
-        this->values.address,
-        [this](const http_server::request& request) { return this->serve(request); });
+    this->server = std::make_unique<http_server>(this->values.address,
+                                                 [this](const http_server::request& request)
+                                                 { return this->serve(request); });
     this->ticker = std::thread([this] { this->tick(); });
     this->beater = std::thread([this] { this->beat(); });
 }
@@ -631,9 +630,8 @@
     const auto unit = body.getValue<std::string>("task");
     const auto number = body.getValue<std::uint64_t>("run");
     const auto spec = body.optValue<std::string>("spec", "");
-    const std::int64_t deadline =
-        std::min(body.getValue<std::int64_t>("deadlineMs"),
-                 this->clock() + this->values.max_hold_ms);
+    const std::int64_t deadline = std::min(body.getValue<std::int64_t>("deadlineMs"),
+                                           this->clock() + this->values.max_hold_ms);
     if (deadline <= this->clock())
     {
         return this->plain(409, "late");
@@ -854,8 +852,8 @@
             body.set("born", this->born);
             text = text_of(body);
         }
-        static_cast<void>(call(this->values.control, "PUT", "/v1/instances/" + this->values.id,
-                               text, {}, 1000));
+        static_cast<void>(
+            call(this->values.control, "PUT", "/v1/instances/" + this->values.id, text, {}, 1000));
     }
 }
 
@@ -933,8 +931,8 @@
         R"("idleTimeoutMs":15000},"tenants":[{"name":"a","apiKeys":["key-a"],)"
         R"("guaranteed":{"gpu":8}}]})");
     // deploy/settings.template with the bounds of sites/menhely-sched.toml.
-    const auto write_settings = [this](const std::string& name, const std::string& store_address,
-                                       const std::string& own)
+    const auto write_settings =
+        [this](const std::string& name, const std::string& store_address, const std::string& own)
     {
         std::string path = this->folder + "/" + name + ".settings";
         std::ofstream(path) << "name = \"" << name << "\"\nzone = \"zone-a\"\nregion = \"region\"\n"
@@ -971,9 +969,9 @@
         const std::string name = "entry-" + std::to_string(index);
         this->fronts.push_back(free_address());
         this->readies.push_back(free_address());
-        const std::string settings =
-            write_settings(name, stores.front().first, "front = \"" + this->fronts.back() + "\"\nready = \"" +
-                                     this->readies.back() + "\"\n");
+        const std::string settings = write_settings(
+            name, stores.front().first,
+            "front = \"" + this->fronts.back() + "\"\nready = \"" + this->readies.back() + "\"\n");
         this->entries.push_back(
             std::make_unique<process>("entry", settings, this->folder + "/" + name + ".log"));
     }
@@ -1016,10 +1014,10 @@
     // Retries reach other nodes.
     static std::size_t next = 0;
     const std::string& front = this->fronts[next++ % this->fronts.size()];
-    return call(front, method, "/q/" + id, body,
-                {{"Host", "jobs.example"}, {"X-Api-Key", "key-a"},
-                 {"Chicorylift-Deadline-Ms", "3000"}},
-                3000);
+    return call(
+        front, method, "/q/" + id, body,
+        {{"Host", "jobs.example"}, {"X-Api-Key", "key-a"}, {"Chicorylift-Deadline-Ms", "3000"}},
+        3000);
 }
 
 bool site::submit(const std::string& id, const std::string& body)
@@ -1080,7 +1078,8 @@
         const std::vector<run_record> own = each->runs();
         all.insert(all.end(), own.begin(), own.end());
     }
-    std::sort(all.begin(), all.end(), [](const run_record& left, const run_record& right)
+    std::sort(all.begin(), all.end(),
+              [](const run_record& left, const run_record& right)
               { return left.started < right.started; });
     return all;
 }
@@ -1112,9 +1111,8 @@
                 const run_record& before = list[first];
                 const run_record& after = list[second];
                 const std::string runs = unit + ": run " + std::to_string(before.run) + " on " +
-                                         before.worker + " from " +
-                                         std::to_string(before.started) + " to " +
-                                         std::to_string(before.ended) + " (" + before.how +
+                                         before.worker + " from " + std::to_string(before.started) +
+                                         " to " + std::to_string(before.ended) + " (" + before.how +
                                          "), run " + std::to_string(after.run) + " on " +
                                          after.worker + " from " + std::to_string(after.started);
                 if (before.ended < 0 || after.started < before.ended)
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <Poco/JSON/Object.h>
-
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
