Ignore orders that newer ones of the leader overtook

Cause: messages keep their order within one connection only. After the cut the agent got a lease by a new connection; then the bytes of the old one arrived, with starts that the leader had given up seconds before. The agent asked only for the epoch and for a lease.

Fix: an agent ignores orders whose leader clock is older than that of orders it has taken in this epoch. So a lease that was granted after the leader gave a start up never meets that start. What still holds is sent again.

--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chicorylift/batch/election.hpp"
+#include "chicorylift/batch/message_order.hpp"
 #include "chicorylift/batch/report_pacing.hpp"
 #include "chicorylift/batch/report_window.hpp"
 #include "chicorylift/batch/run_table.hpp"
@@ -105,9 +106,9 @@
     std::uint64_t epoch{};
     std::string leader_address;
     std::string leader_name;
-    /// The leader's clock in its last orders; reports return it, which proves that this agent still
-    /// followed the leader at that time.
-    std::int64_t leader_clock_ms{};
+    /// Reports return the newest clock, which proves that this agent still followed the leader at
+    /// that time.
+    batch::orders_sequence orders_received;
     /// Starts at the boot clock, so that an answer to an earlier process of this agent matches none
     /// of this one's reports.
     std::uint64_t report_sequence{};
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -83,7 +83,7 @@
                       {{"epoch", new_epoch}, {"before", this->epoch}, {"lead", name}});
         this->predecessor_unpersisted = this->predecessor_unpersisted || this->unwritten_starts;
         this->unwritten_starts = false;
-        this->leader_clock_ms = 0;
+        this->orders_received.reset();
         this->window.reset();
         // Run lists are valid only if they were read after the worker has seen the new epoch.
         this->snapshot_valid = false;
@@ -119,6 +119,16 @@
     }
     const bool is_new = orders.epoch() > this->epoch;
     this->follow(orders.epoch(), from, orders.lead());
+    if (!this->orders_received.accept(orders.lead_clock_ms()))
+    {
+        // The leader may have given up what these orders start, and sends again what still holds.
+        events::write("orders_late", {{"epoch", this->epoch},
+                                      {"starts", static_cast<std::int64_t>(orders.starts_size())},
+                                      {"stops", static_cast<std::int64_t>(orders.stops_size())},
+                                      {"late_ms", this->orders_received.newest_clock_ms() -
+                                                      orders.lead_clock_ms()}});
+        return;
+    }
     this->election.on_leader_heartbeat(now);
     this->last_orders = now;
     if (orders.store_lost())
@@ -131,7 +141,6 @@
     }
     this->predecessor_unpersisted = this->predecessor_unpersisted && !orders.takeover_settled();
     this->unwritten_starts = orders.unwritten_starts();
-    this->leader_clock_ms = orders.lead_clock_ms();
     this->pacing = batch::pacing_for(orders.agents());
     this->election.set_election_timeout(this->pacing.election_timeout);
     if (orders.reply_to() != 0)
@@ -305,7 +314,7 @@
     report.set_earlier_unwritten_starts(this->predecessor_unpersisted);
     report.set_members_version(this->members_version);
     report.set_leaving(this->leaving);
-    report.set_lead_clock_ms(this->leader_clock_ms);
+    report.set_lead_clock_ms(this->orders_received.newest_clock_ms());
     this->lease.on_report_sent(this->report_sequence, now);
     this->window.on_sent(this->report_sequence);
     this->last_report = now;
--- a/tests/support/batch_site.cpp
+++ b/tests/support/batch_site.cpp
@@ -63,9 +63,11 @@
         const worker_place& place = places[static_cast<std::size_t>(index)];
         member one;
         one.metrics = free_address();
+        one.listen = free_address();
+        one.control = place.agent;
         std::vector<std::string> command{daemon_path(), "batch",     "--role",    "agent",
                                          "--name",      name,        "--zone",    "z",
-                                         "--region",    "r",         "--listen",  free_address(),
+                                         "--region",    "r",         "--listen",  one.listen,
                                          "--control",   place.agent, "--worker",  place.address,
                                          "--store",     store,       "--metrics", one.metrics};
         command.insert(command.end(), agent_flags.begin(), agent_flags.end());
@@ -195,6 +197,16 @@
     return this->entries[static_cast<std::size_t>(entry)].metrics;
 }
 
+std::string batch_site::agent_address(int agent) const
+{
+    return this->agents[static_cast<std::size_t>(agent)].listen;
+}
+
+std::string batch_site::control(int agent) const
+{
+    return this->agents[static_cast<std::size_t>(agent)].control;
+}
+
 std::string job_body(const std::string& payload, int units, int accelerators, bool gang)
 {
     return R"({"spec":")" + payload + R"(","steps":[{"count":)" + std::to_string(units) +
--- a/tests/support/batch_site.hpp
+++ b/tests/support/batch_site.hpp
@@ -53,6 +53,10 @@
     [[nodiscard]] std::string front(int entry) const;
     [[nodiscard]] std::string ready(int entry) const;
     [[nodiscard]] std::string metrics(int entry) const;
+    /// @return where an agent takes messages of other agents.
+    [[nodiscard]] std::string agent_address(int agent) const;
+    /// @return where an agent takes its worker's announcements.
+    [[nodiscard]] std::string control(int agent) const;
 
     site_store& store() { return *this->table; }
     site_workers& workers() { return *this->machines; }
@@ -70,6 +74,8 @@
         std::string front;
         std::string ready;
         std::string metrics;
+        std::string listen;
+        std::string control;
     };
 
     std::string folder;
