Ignore reports that later ones of the agent overtook

After a reconnect, reports that were held up on the old connection arrive behind newer ones. The leader took them as news: a report from before a worker's restart ends all present runs in the leader's table, one from before a drain makes the worker eligible again, and one from an earlier outage confirms unwritten starts. The inbox replaced a waiting report by an older one as well.

Fix: a leader ignores reports with a lower number than the newest of the agent. Numbers start at the machine's boot clock. A process whose machine has restarted shows that it is the later one by the time of the orders it has received.

The test of the inbox failed before (it kept report 1 of 2 and 1).

--- a/include/chicorylift/batch/message_order.hpp
+++ b/include/chicorylift/batch/message_order.hpp
@@ -27,4 +27,23 @@
     std::int64_t newest{};
 };
 
+/// Rejects reports that a leader receives after later ones of the same agent.
+class report_sequence
+{
+public:
+    /// @param process incarnation of the sending process.
+    /// @param sequence the report's number. It rises over all processes of an agent while its
+    /// machine's boot clock keeps running.
+    /// @param orders_sent_at when the leader sent the last orders that the sender had received; the
+    /// clock's epoch when it had received none.
+    /// @return false if a later report has been accepted.
+    [[nodiscard]] bool accept(const std::string& process, std::uint64_t sequence,
+                              core::instant orders_sent_at, core::instant now);
+
+private:
+    std::string process;
+    std::uint64_t newest{};
+    core::instant accepted_at{};
+};
+
 } // namespace chicorylift::batch
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -148,6 +148,15 @@
     this->detect_process_pause();
     const core::instant now = core::boot_clock::now();
     agent_state& state = this->agents[report.agent()];
+    const core::instant orders_sent_at = core::instant_at(
+        core::milliseconds{report.epoch() == this->my_epoch ? report.lead_clock_ms() : 0});
+    if (!state.reports.accept(message.incarnation(), report.sequence(), orders_sent_at, now))
+    {
+        events::write("report_late", {{"agent", report.agent()},
+                                      {"epoch", this->my_epoch},
+                                      {"sequence", report.sequence()}});
+        return;
+    }
     if (state.address != message.from())
     {
         state.address = message.from();
@@ -169,8 +178,7 @@
                           report.earlier_unwritten_starts(), now);
     if (report.epoch() == this->my_epoch && report.lead_clock_ms() > 0)
     {
-        this->confirmation.on_report(batch::agent_id(report.agent()),
-                                     core::instant_at(core::milliseconds{report.lead_clock_ms()}));
+        this->confirmation.on_report(batch::agent_id(report.agent()), orders_sent_at);
     }
     if (this->guard.predecessor_may_have_unpersisted_runs())
     {
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -2,6 +2,7 @@
 
 #include "chicorylift/batch/call_backoff.hpp"
 #include "chicorylift/batch/leadership_confirmation.hpp"
+#include "chicorylift/batch/message_order.hpp"
 #include "chicorylift/batch/pass_pacing.hpp"
 #include "chicorylift/batch/scheduler.hpp"
 #include "chicorylift/batch/site_config.hpp"
@@ -89,6 +90,7 @@
     {
         std::string address;
         core::instant last_heard{};
+        batch::report_sequence reports;
         batch::call_backoff calls;
         std::uint64_t known_members_version{};
         /// Sequence of the latest report without an answer; 0 when there is none.
--- a/src/site/message_inbox.cpp
+++ b/src/site/message_inbox.cpp
@@ -29,7 +29,11 @@
     const auto [known, is_new] = this->reports.try_emplace(sender_of(message));
     if (!is_new)
     {
-        known->second->message = std::move(message);
+        // After a reconnect, reports that were held up on the old connection arrive late.
+        if (message.unit_report().sequence() > known->second->message.unit_report().sequence())
+        {
+            known->second->message = std::move(message);
+        }
         return wake;
     }
     known->second = this->messages.insert(this->messages.end(), {std::move(message), now});
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -69,6 +69,7 @@
     event_kind{"start_refused", 100, "a worker rejected a start, with the reason"},
     event_kind{"order_lost", 100, "a worker did not answer an order"},
     event_kind{"orders_late", 50, "orders of the leader arrived after newer ones and are ignored"},
+    event_kind{"report_late", 50, "a report of an agent arrived after newer ones and is ignored"},
     event_kind{"progress_written", 50, "job progress is stored"},
     event_kind{"jobs_trimmed", 10, "rows of ended jobs are removed after their retention period"},
     event_kind{"worker_announced", 20, "a worker has registered or changed its announcement"},
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylift/batch/leadership_confirmation.hpp"
+#include "chicorylift/batch/message_order.hpp"
 #include "chicorylift/batch/pass_pacing.hpp"
 #include "chicorylift/batch/probe_sample.hpp"
 #include "chicorylift/batch/report_pacing.hpp"
@@ -163,6 +164,27 @@
     CHECK(confirmation.confirmed_at() == instant_at(milliseconds{1000}));
 }
 
+// Guards against TWICE: a report that arrives late undoes what later ones have told.
+TEST_CASE("a leader ignores reports that arrive after later ones of the agent")
+{
+    report_sequence reports;
+    const auto accept = [&reports](const char* process, std::uint64_t sequence,
+                                   milliseconds orders_sent_at, milliseconds now)
+    { return reports.accept(process, sequence, instant_at(orders_sent_at), instant_at(now)); };
+    CHECK(accept("first", 5000, milliseconds{0}, milliseconds{100}));
+    CHECK(accept("first", 5002, milliseconds{150}, milliseconds{200}));
+    CHECK(!accept("first", 5001, milliseconds{100}, milliseconds{300}));
+    CHECK(!accept("first", 5002, milliseconds{150}, milliseconds{300}));
+    // The agent's process restarts, and the first one's last report arrives late.
+    CHECK(accept("second", 9000, milliseconds{0}, milliseconds{900}));
+    CHECK(!accept("first", 5003, milliseconds{250}, milliseconds{1000}));
+    CHECK(accept("second", 9001, milliseconds{950}, milliseconds{1100}));
+    // The machine restarts, and its boot clock with it: accepted once it has received orders.
+    CHECK(!accept("third", 40, milliseconds{0}, milliseconds{2000}));
+    CHECK(accept("third", 41, milliseconds{2050}, milliseconds{2100}));
+    CHECK(!accept("second", 9002, milliseconds{1150}, milliseconds{2200}));
+}
+
 TEST_CASE("a new leader counts leases from when most agents followed it")
 {
     takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5552});
--- a/tests/leader_load_test.cpp
+++ b/tests/leader_load_test.cpp
@@ -147,6 +147,18 @@
     CHECK(inbox.push(probe, now));
 }
 
+// Guards against TWICE: an older report names an earlier process of the worker, or lacks runs.
+TEST_CASE("a waiting report is not replaced by an older one of the same process")
+{
+    const instant now = instant_at(milliseconds{1});
+    site::message_inbox inbox;
+    CHECK(inbox.push(report_from("a", "1", 2), now));
+    CHECK(!inbox.push(report_from("a", "1", 1), now));
+    const auto taken = inbox.take(10, now);
+    REQUIRE(taken.size() == 1);
+    CHECK(taken.front().message.unit_report().sequence() == 2);
+}
+
 TEST_CASE("changes while a report is unanswered are sent in one report after the answer")
 {
     batch::report_window window;
