Bar starts whose lease lapsed before their repetition

An agent repeats a start that the worker did not answer, and sent it with the lease of that moment. When the lease had lapsed since the order, as after the agent's process stood still, the repeated start ran under a lease that the leader granted after it had placed the unit elsewhere.

Fix: when a lease is renewed after it had lapsed, starts without a response are barred by a stop. The leader hears of a run that never started, or of its end.

The test in batch_test failed with the call doing nothing (the command was a start).

--- a/include/chicorylift/batch/run_table.hpp
+++ b/include/chicorylift/batch/run_table.hpp
@@ -67,6 +67,9 @@
     bool on_run_lists(const std::vector<reported_run>& running,
                       const std::vector<reported_end>& ended, core::instant requested_at,
                       core::instant now);
+    /// Bars starts without a response: the lease under which the leader ordered them has lapsed,
+    /// and the leader may have placed their units elsewhere before it granted the present one.
+    void on_lease_renewed_after_lapse(core::instant now);
     /// Clears the table: the worker has restarted and lost all runs.
     void on_worker_restarted();
     /// The leader has received the report that a run never started.
--- a/src/batch/run_table.cpp
+++ b/src/batch/run_table.cpp
@@ -171,6 +171,19 @@
     return changed;
 }
 
+void run_table::on_lease_renewed_after_lapse(core::instant now)
+{
+    for (auto& [key, known] : this->entries)
+    {
+        if (known.phase == run_phase::starting)
+        {
+            known.phase = run_phase::stopping;
+            known.in_flight = false;
+            known.retry_at = now;
+        }
+    }
+}
+
 void run_table::on_worker_restarted()
 {
     this->entries.clear();
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -145,8 +145,13 @@
     this->election.set_election_timeout(this->pacing.election_timeout);
     if (orders.reply_to() != 0)
     {
+        const bool had_lapsed = this->lease.expires_at() <= now;
         this->lease.on_report_acknowledged(orders.reply_to(),
                                            core::milliseconds{orders.confirmed_age_ms()});
+        if (had_lapsed && this->lease.expires_at() > now)
+        {
+            this->runs.on_lease_renewed_after_lapse(now);
+        }
         if (this->window.on_answered(orders.reply_to()))
         {
             this->report_soon();
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -210,6 +210,23 @@
     REQUIRE(table.take_due_retries(instant_at(milliseconds{703})).size() == 1);
 }
 
+// Guards against TWICE: by the time of the renewal the leader may have placed the unit elsewhere.
+TEST_CASE("a start without a response is barred, not retried, once its lease has lapsed")
+{
+    run_table table;
+    worker_command start;
+    start.unit = unit("j");
+    start.run = 5;
+    const run_table::run_key key{start.unit, 5};
+    REQUIRE(table.on_start_command(start, instant_at(milliseconds{0})).has_value());
+    table.on_lease_renewed_after_lapse(instant_at(milliseconds{6000}));
+    // The response of the first attempt times out after that.
+    table.on_start_result(key, start_result::unknown, "", instant_at(milliseconds{6001}));
+    const auto commands = table.take_due_retries(instant_at(milliseconds{6002}));
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().what == worker_command::kind::stop);
+}
+
 TEST_CASE("lists requested before a start was accepted do not remove its run")
 {
     run_table table;
