Don't take restarted agents' silence for the absence of unwritten starts

Cause: a new leader places once more than half of the agents have reported, since one of them must have heard of an earlier leader's unwritten starts. Agents whose process had restarted since then were counted too, though they had forgotten.

Fix: a report tells whether the agent's process has followed a leader whose take-over was settled.

--- a/include/chicorylift/batch/takeover_guard.hpp
+++ b/include/chicorylift/batch/takeover_guard.hpp
@@ -8,13 +8,28 @@
 namespace chicorylift::batch
 {
 
+/// What an agent's report tells about unpersisted starts.
+struct takeover_report
+{
+    /// The agent has received this leader's announcement.
+    bool confirmed = false;
+    /// An earlier leader may have made unpersisted starts that no later leader has accounted for.
+    bool earlier_unpersisted = false;
+    /// The agent's process has followed a leader that had accounted for its predecessors. A process
+    /// that has not may have restarted and forgotten an announcement.
+    bool informed = false;
+};
+
 /// Prevents a new leader from starting units again that an earlier leader started without a
 /// placement in the store.
 ///
 /// A leader that cannot write to the store announces unpersisted starts to its agents, and begins
 /// them only once more than half of the agents have confirmed the announcement. A new leader places
-/// no work until more than half of the agents have reported. Two majorities share at least one
-/// agent, so one of these reports carries the announcement.
+/// no work until more than half of the agents have reported.
+///
+/// If more than half of the agents are informed, they include one that confirmed the last
+/// announcement and whose process has not restarted since, or has heard of it again. So their
+/// reports carry the announcement. Otherwise the leader assumes unpersisted starts.
 class takeover_guard
 {
 public:
@@ -28,17 +43,14 @@
     void add_agent(const agent_id& agent);
     void remove_agent(const agent_id& agent);
     /// Handles an agent's report.
-    /// @param confirmed whether the agent has received this leader's announcement.
-    /// @param earlier_unpersisted whether an earlier leader may have made unpersisted starts that
-    /// no later leader has accounted for.
-    void on_report(const agent_id& agent, bool confirmed, bool earlier_unpersisted,
-                   core::instant now);
+    void on_report(const agent_id& agent, const takeover_report& report, core::instant now);
     /// Begins or ends the announcement of unpersisted starts; beginning one discards earlier
     /// confirmations.
     void announce_unpersisted_starts(bool unpersisted);
 
-    /// @return whether this leader may place work: more than half of the agents have reported, or
-    /// the lease timeout has passed since it became leader. Stays true once it is.
+    /// @return whether this leader may place work: the agents that have reported tell what an
+    /// earlier leader may have started, or the lease timeout has passed since it became leader.
+    /// Stays true once it is.
     [[nodiscard]] bool may_place(core::instant now) const;
     /// @return when more than half of the agents had reported, or else when this member became
     ///         leader. An earlier leader may have renewed leases on the word of most agents until
@@ -62,9 +74,14 @@
     {
         bool reported = false;
         bool confirmed = false;
+        bool informed = false;
     };
 
+    [[nodiscard]] std::size_t count(bool known_agent::*property) const;
     [[nodiscard]] bool has_majority() const;
+    /// Assumes unpersisted starts and announces them again, so that the next leader hears of them
+    /// too if this one fails before it has accounted for them.
+    void assume_unpersisted_starts() noexcept;
 
     core::instant began;
     std::optional<core::instant> followed_at;
--- a/src/batch/takeover_guard.cpp
+++ b/src/batch/takeover_guard.cpp
@@ -15,23 +15,44 @@
     this->agents.erase(agent);
 }
 
-void takeover_guard::on_report(const agent_id& agent, bool confirmed, bool earlier_unpersisted,
+void takeover_guard::on_report(const agent_id& agent, const takeover_report& report,
                                core::instant now)
 {
     known_agent& known = this->agents[agent];
     known.reported = true;
-    known.confirmed = confirmed;
-    if (!this->may_place_latched && !this->followed_at.has_value() && this->has_majority())
+    known.confirmed = report.confirmed;
+    known.informed = report.informed;
+    if (this->may_place_latched)
+    {
+        return;
+    }
+    if (!this->followed_at.has_value() && this->has_majority())
     {
         this->followed_at = now;
     }
-    if (earlier_unpersisted && !this->may_place_latched)
+    if (report.earlier_unpersisted)
+    {
+        this->assume_unpersisted_starts();
+    }
+    if (!this->has_majority())
+    {
+        return;
+    }
+    const std::size_t informed = this->count(&known_agent::informed);
+    const std::size_t uninformed = this->count(&known_agent::reported) - informed;
+    const bool most_are_informed = informed * 2 > this->agents.size();
+    const bool most_never_will_be = uninformed * 2 >= this->agents.size();
+    if (!most_are_informed && most_never_will_be)
     {
-        // Announced again, so that the next leader receives it too if this one fails before it has
-        // accounted for these starts.
-        this->predecessor_unpersisted = true;
-        this->announcing = true;
+        this->assume_unpersisted_starts();
     }
+    this->may_place_latched = most_are_informed || most_never_will_be;
+}
+
+void takeover_guard::assume_unpersisted_starts() noexcept
+{
+    this->predecessor_unpersisted = true;
+    this->announcing = true;
 }
 
 void takeover_guard::announce_unpersisted_starts(bool unpersisted)
@@ -50,23 +71,26 @@
 {
     if (!this->may_place_latched)
     {
-        this->may_place_latched = this->has_majority() || now - this->began > this->lease_timeout;
+        this->may_place_latched = now - this->began > this->lease_timeout;
     }
     return this->may_place_latched;
 }
 
+std::size_t takeover_guard::count(bool known_agent::*property) const
+{
+    return static_cast<std::size_t>(std::count_if(this->agents.begin(), this->agents.end(),
+                                                  [property](const auto& each)
+                                                  { return each.second.*property; }));
+}
+
 bool takeover_guard::has_majority() const
 {
-    const auto reported = std::count_if(this->agents.begin(), this->agents.end(),
-                                        [](const auto& each) { return each.second.reported; });
-    return static_cast<std::size_t>(reported) * 2 > this->agents.size();
+    return this->count(&known_agent::reported) * 2 > this->agents.size();
 }
 
 bool takeover_guard::may_start_unpersisted() const
 {
-    const auto confirmed = std::count_if(this->agents.begin(), this->agents.end(),
-                                         [](const auto& each) { return each.second.confirmed; });
-    return this->announcing && static_cast<std::size_t>(confirmed) * 2 > this->agents.size();
+    return this->announcing && this->count(&known_agent::confirmed) * 2 > this->agents.size();
 }
 
 } // namespace chicorylift::batch
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -121,6 +121,8 @@
     batch::report_pacing pacing;
     bool unwritten_starts = false;
     bool predecessor_unpersisted = false;
+    /// Has followed a leader that had accounted for its predecessors; see batch::takeover_report.
+    bool knows_predecessors = false;
     bool store_reachable = false;
     bool registered = false;
     bool leaving = false;
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -140,6 +140,7 @@
         this->election.on_leader_store_reachable();
     }
     this->predecessor_unpersisted = this->predecessor_unpersisted && !orders.takeover_settled();
+    this->knows_predecessors = this->knows_predecessors || orders.takeover_settled();
     this->unwritten_starts = orders.unwritten_starts();
     this->pacing = batch::pacing_for(orders.agents());
     this->election.set_election_timeout(this->pacing.election_timeout);
@@ -317,6 +318,7 @@
     report.set_store_reachable(this->store_reachable);
     report.set_unwritten_starts(this->unwritten_starts);
     report.set_earlier_unwritten_starts(this->predecessor_unpersisted);
+    report.set_knows_earlier_leads(this->knows_predecessors);
     report.set_members_version(this->members_version);
     report.set_leaving(this->leaving);
     report.set_lead_clock_ms(this->orders_received.newest_clock_ms());
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -174,8 +174,11 @@
             state.acknowledged_runs.emplace_back(end.unit(), end.run());
         }
     }
-    this->guard.on_report(batch::agent_id(report.agent()), report.unwritten_starts(),
-                          report.earlier_unwritten_starts(), now);
+    this->guard.on_report(batch::agent_id(report.agent()),
+                          {.confirmed = report.unwritten_starts(),
+                           .earlier_unpersisted = report.earlier_unwritten_starts(),
+                           .informed = report.knows_earlier_leads()},
+                          now);
     if (report.epoch() == this->my_epoch && report.lead_clock_ms() > 0)
     {
         this->confirmation.on_report(batch::agent_id(report.agent()), orders_sent_at);
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -349,6 +349,32 @@
     CHECK(unguarded > 0);
 }
 
+// Guards against TWICE: restarted agents have forgotten the announcement of unpersisted starts, and
+// a new leader that hears most of them must not take their silence for its absence.
+TEST_CASE("units started in a store outage are not started again after all agents have restarted")
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed)
+    {
+        CAPTURE(seed);
+        virtual_site site(seed);
+        add_mixed_load(site, 40);
+        const milliseconds outage_start{6000 + seed * 150};
+        const milliseconds killed = outage_start + milliseconds{2950};
+        site.store_out(outage_start, seconds{3});
+        site.replace_leader(killed, milliseconds{100});
+        for (int worker = 0; worker < 12; ++worker)
+        {
+            site.restart_agent(killed + milliseconds{20}, worker);
+        }
+        for (int worker = 0; worker < 12; worker += 5)
+        {
+            site.cut(killed, worker, milliseconds{1500});
+        }
+        site.play(seconds{150});
+        check_no_violations(site);
+    }
+}
+
 TEST_CASE("restarts of workers and agents do not run a unit twice")
 {
     for (std::uint32_t seed = 1; seed <= 40; ++seed)
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -193,9 +193,15 @@
         guard.add_agent(agent_id(name));
     }
     CHECK(guard.followed_since() == instant_at(milliseconds{0}));
-    guard.on_report(agent_id("a"), false, false, instant_at(milliseconds{100}));
-    guard.on_report(agent_id("b"), false, false, instant_at(milliseconds{900}));
-    guard.on_report(agent_id("c"), false, false, instant_at(milliseconds{3000}));
+    guard.on_report(agent_id("a"),
+                    {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{100}));
+    guard.on_report(agent_id("b"),
+                    {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{900}));
+    guard.on_report(agent_id("c"),
+                    {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{3000}));
     CHECK(guard.followed_since() == instant_at(milliseconds{900}));
 
     site_scheduler scheduler(settings_of_epoch(2), instant_at(milliseconds{10'000}));
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -481,10 +481,16 @@
     {
         guard.add_agent(agent_id(name));
     }
-    guard.on_report(agent_id("a"), false, false, instant_at(milliseconds{50}));
-    guard.on_report(agent_id("b"), false, false, instant_at(milliseconds{50}));
+    guard.on_report(agent_id("a"),
+                    {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{50}));
+    guard.on_report(agent_id("b"),
+                    {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{50}));
     CHECK(!guard.may_place(instant_at(milliseconds{100})));
-    guard.on_report(agent_id("c"), false, true, instant_at(milliseconds{50}));
+    guard.on_report(agent_id("c"),
+                    {.confirmed = false, .earlier_unpersisted = true, .informed = true},
+                    instant_at(milliseconds{50}));
     CHECK(guard.may_place(instant_at(milliseconds{100})));
     CHECK(guard.predecessor_may_have_unpersisted_runs());
     // The new leader repeats the announcement until it has accounted for these runs.
@@ -493,24 +499,64 @@
     takeover_guard half_reporting(instant_at(milliseconds{0}), lease_timeout);
     half_reporting.add_agent(agent_id("a"));
     half_reporting.add_agent(agent_id("b"));
-    half_reporting.on_report(agent_id("a"), false, false, instant_at(milliseconds{50}));
+    half_reporting.on_report(agent_id("a"),
+                             {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                             instant_at(milliseconds{50}));
     CHECK(!half_reporting.may_place(instant_at(milliseconds{5400})));
     CHECK(half_reporting.may_place(instant_at(milliseconds{5600})));
 }
 
+// Guards against TWICE: agents that have restarted since then know of no announcement.
+TEST_CASE("a new leader assumes unpersisted starts if most agents may have forgotten them")
+{
+    const takeover_report forgotten{};
+    const takeover_report remembers{
+        .confirmed = false, .earlier_unpersisted = false, .informed = true};
+    const auto guard_after = [](std::initializer_list<takeover_report> reports)
+    {
+        takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5500});
+        for (const char* const name : {"a", "b", "c", "d", "e"})
+        {
+            guard.add_agent(agent_id(name));
+        }
+        char name = 'a';
+        for (const takeover_report& report : reports)
+        {
+            guard.on_report(agent_id(std::string(1, name++)), report, instant_at(milliseconds{50}));
+        }
+        return guard;
+    };
+    const core::instant now = instant_at(milliseconds{100});
+    const takeover_guard most_restarted = guard_after({forgotten, remembers, forgotten, forgotten});
+    CHECK(most_restarted.may_place(now));
+    CHECK(most_restarted.predecessor_may_have_unpersisted_runs());
+    CHECK(most_restarted.is_announcing());
+    // A majority has reported, but it is still open whether most agents are informed.
+    CHECK(!guard_after({forgotten, remembers, remembers}).may_place(now));
+    const takeover_guard one_restarted = guard_after({forgotten, remembers, remembers, remembers});
+    CHECK(one_restarted.may_place(now));
+    CHECK(!one_restarted.predecessor_may_have_unpersisted_runs());
+}
+
 TEST_CASE("unpersisted starts wait until most agents have confirmed the announcement")
 {
     takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5500});
     for (const char* const name : {"a", "b", "c"})
     {
         guard.add_agent(agent_id(name));
-        guard.on_report(agent_id(name), false, false, instant_at(milliseconds{50}));
+        guard.on_report(agent_id(name),
+                        {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                        instant_at(milliseconds{50}));
     }
     CHECK(!guard.may_start_unpersisted());
     guard.announce_unpersisted_starts(true);
-    guard.on_report(agent_id("a"), true, false, instant_at(milliseconds{50}));
+    guard.on_report(agent_id("a"),
+                    {.confirmed = true, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{50}));
     CHECK(!guard.may_start_unpersisted());
-    guard.on_report(agent_id("b"), true, false, instant_at(milliseconds{50}));
+    guard.on_report(agent_id("b"),
+                    {.confirmed = true, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{50}));
     CHECK(guard.may_start_unpersisted());
     guard.announce_unpersisted_starts(false);
     CHECK(!guard.may_start_unpersisted());
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -73,6 +73,7 @@
     bool lists_valid = false;
     bool knows_unwritten = false;
     bool earlier_unwritten = false;
+    bool informed = false;
     std::uint64_t agent_life = 1;
     bool report_scheduled = false;
     instant last_report{};
@@ -483,8 +484,9 @@
         }
         this->after(
             message_time,
-            [this, index, report, sequence, epoch = worker.epoch, knows = worker.knows_unwritten,
-             earlier = worker.earlier_unwritten]
+            [this, index, report, sequence, epoch = worker.epoch,
+             about_starts = batch::takeover_report{worker.knows_unwritten, worker.earlier_unwritten,
+                                                   worker.informed}]
             {
                 if (this->scheduler == nullptr || this->workers[index].cut_until > this->now)
                 {
@@ -492,7 +494,7 @@
                 }
                 batch::worker_report taken = report;
                 taken.lists_valid = taken.lists_valid && epoch == this->epoch;
-                this->guard->on_report(report.agent, knows, earlier, this->now);
+                this->guard->on_report(report.agent, about_starts, this->now);
                 if (this->shape.guarded_takeover &&
                     this->guard->predecessor_may_have_unpersisted_runs())
                 {
@@ -521,6 +523,7 @@
                                    {
                                        there.knows_unwritten = announcing;
                                        there.earlier_unwritten = there.earlier_unwritten && !known;
+                                       there.informed = there.informed || known;
                                    }
                                });
                 this->pass();
@@ -1031,6 +1034,9 @@
                                     one.lease = batch::worker_lease(self->shape.lease);
                                     one.lists_valid = false;
                                     one.noted = 0;
+                                    one.knows_unwritten = false;
+                                    one.earlier_unwritten = false;
+                                    one.informed = false;
                                     self->look(testing::at(worker));
                                 });
 }
