Register only announcements of the process that the worker names

Cause: an announcement with a later start was taken for a new process of the worker. The agent then dropped the worker's own lists and announcements as outdated, extended no lease, and went on to report, so that the leader counted the lease as renewed.

Evidence: a fake leader of a real agent sees reports that name the other program's id and start, without valid lists, for as long as it looks.

Fix: the worker's responses to polls tell which process it is. An announcement of another process waits for such a response and is dropped if it names another one. So no announcement can outrank the worker itself, and a worker whose machine's clock was set back can register again. Departures must name the registered worker.

--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -7,6 +7,7 @@
 #include "chicorylift/batch/run_table.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 #include "chicorylift/batch/worker_liveness.hpp"
+#include "chicorylift/batch/worker_registration.hpp"
 #include "net/async_http_server.hpp"
 #include "net/event_loop.hpp"
 #include "net/transport.hpp"
@@ -48,14 +49,17 @@
     void handle_worker_request(const net::server_request& request,
                                const net::async_http_server::responder& respond);
     void on_announcement(const ports::announcement& announcement);
-    void on_worker_left();
+    /// Applies the registration's properties of the worker.
+    void on_registered();
+    void on_worker_left(const core::worker_id& id);
     void poll_worker();
     void schedule_worker_poll(core::milliseconds delay);
     /// Polls at once and ignores the response of a poll in flight.
     void poll_worker_now();
     void on_worker_poll(const ports::poll_outcome& outcome, core::instant sent_at,
                         std::uint64_t epoch);
-    void on_worker_incarnation(batch::unix_time started_at);
+    /// @param started_at start of the worker's process, as its response names it.
+    void on_worker_response(batch::unix_time started_at);
     void send_to_worker(const batch::worker_command& command);
     void retry_due_commands();
     void on_worker_poll_failed(const std::string& reason);
@@ -89,8 +93,9 @@
     std::unique_ptr<ports::worker_control> worker;
     support::metrics metrics;
 
+    batch::worker_registration registration;
+    /// The registered worker, with what the agent itself knows of it.
     batch::worker_info worker_info;
-    std::uint64_t announcement_sequence{};
     batch::run_table runs;
     batch::worker_lease lease;
     std::uint64_t acknowledged_end{};
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -59,7 +59,7 @@
         break;
     }
     case platform::agent_request::leave:
-        this->on_worker_left();
+        this->on_worker_left(core::worker_id(request.path_segments.back()));
         break;
     case platform::agent_request::unknown:
         response.status = status_not_found;
@@ -74,48 +74,56 @@
 
 void agent::on_announcement(const ports::announcement& announcement)
 {
-    const batch::worker_info& announced = announcement.worker;
-    const bool same_process = this->worker_info.announced && this->worker_info.id == announced.id &&
-                              this->worker_info.started_at == announced.started_at;
-    if (this->worker_info.announced && announced.started_at < this->worker_info.started_at)
+    const batch::registration_result result =
+        this->registration.on_announcement(announcement.worker, announcement.sequence);
+    if (result == batch::registration_result::waiting)
     {
-        // Delayed message of an earlier process of the worker.
+        // The worker must respond at once, not when the next run ends.
+        this->poll_again = true;
+        this->poll_worker_now();
         return;
     }
-    if (same_process && announcement.sequence <= this->announcement_sequence)
+    if (result == batch::registration_result::rejected)
     {
-        return;
+        events::write("announcement_ignored", {{"worker", announcement.worker.id.str()},
+                                               {"born_ms", announcement.worker.started_at.count()},
+                                               {"service", announcement.worker.service.str()},
+                                               {"own_worker", this->worker_info.id.str()}});
     }
-    const bool changed = !same_process || this->worker_info.draining != announced.draining ||
-                         this->worker_info.capacity != announced.capacity ||
-                         this->worker_info.labels != announced.labels;
-    if (announced.started_at != this->worker_info.started_at)
+    if (result == batch::registration_result::accepted)
     {
-        this->on_worker_incarnation(announced.started_at);
+        this->on_registered();
     }
-    const bool was_unresponsive = this->worker_info.unresponsive;
-    this->announcement_sequence = announcement.sequence;
-    this->worker_info = announced;
-    this->worker_info.unresponsive = was_unresponsive && same_process;
+}
+
+void agent::on_registered()
+{
+    const batch::worker_info before = std::exchange(this->worker_info, this->registration.worker());
+    this->worker_info.unresponsive = before.unresponsive;
     this->worker_left = false;
-    if (changed)
-    {
-        events::write("worker_announced", {{"worker", announced.id.str()},
-                                           {"born_ms", announced.started_at.count()},
-                                           {"draining", announced.draining ? "yes" : "no"},
-                                           {"accelerators", announced.capacity.accelerators},
-                                           {"rack", announced.rack.str()},
-                                           {"sequence", announcement.sequence}});
-        this->report_soon();
-    }
-    if (!same_process)
+    if (before.announced && before.id == this->worker_info.id &&
+        before.started_at == this->worker_info.started_at &&
+        before.draining == this->worker_info.draining &&
+        before.capacity == this->worker_info.capacity && before.labels == this->worker_info.labels)
     {
-        this->schedule_worker_poll(core::milliseconds{0});
+        return;
     }
+    events::write("worker_announced", {{"worker", this->worker_info.id.str()},
+                                       {"born_ms", this->worker_info.started_at.count()},
+                                       {"draining", this->worker_info.draining ? "yes" : "no"},
+                                       {"accelerators", this->worker_info.capacity.accelerators},
+                                       {"rack", this->worker_info.rack.str()}});
+    this->report_soon();
 }
 
-void agent::on_worker_left()
+void agent::on_worker_left(const core::worker_id& id)
 {
+    if (id != this->worker_info.id)
+    {
+        events::write("announcement_ignored",
+                      {{"worker", id.str()}, {"own_worker", this->worker_info.id.str()}});
+        return;
+    }
     this->worker_left = true;
     this->worker_info.unresponsive = true;
     this->worker_info.draining = true;
@@ -123,19 +131,35 @@
     this->report_soon();
 }
 
-void agent::on_worker_incarnation(batch::unix_time started_at)
+void agent::on_worker_response(batch::unix_time started_at)
 {
-    if (this->worker_info.started_at.count() != 0 && started_at != this->worker_info.started_at)
+    const std::optional<batch::registration_result> announcement =
+        this->registration.on_response(started_at);
+    const batch::unix_time process = this->registration.worker().started_at;
+    if (process != this->worker_info.started_at)
     {
-        events::write("worker_restarted",
-                      {{"worker", this->worker_info.id.str()}, {"born_ms", started_at.count()}});
-        this->runs.on_worker_restarted();
-        this->snapshot_valid = false;
-        this->lease.forget_clock();
-        this->announcement_sequence = 0;
+        if (this->worker_info.started_at.count() != 0)
+        {
+            events::write("worker_restarted",
+                          {{"worker", this->worker_info.id.str()}, {"born_ms", process.count()}});
+            this->runs.on_worker_restarted();
+            this->snapshot_valid = false;
+            this->lease.forget_clock();
+        }
+        this->acknowledged_end = 0;
+        this->worker_info = {};
+        this->worker_info.started_at = process;
+        this->report_soon();
+    }
+    if (announcement == batch::registration_result::accepted)
+    {
+        this->on_registered();
+    }
+    else if (announcement == batch::registration_result::rejected)
+    {
+        events::write("announcement_ignored", {{"own_worker", this->worker_info.id.str()},
+                                               {"own_born_ms", process.count()}});
     }
-    this->acknowledged_end = 0;
-    this->worker_info.started_at = started_at;
 }
 
 void agent::schedule_worker_poll(core::milliseconds delay)
@@ -215,16 +239,7 @@
         events::write("worker_back", {{"worker", this->worker_info.id.str()}});
         this->report_soon();
     }
-    if (outcome.snapshot.started_at != this->worker_info.started_at &&
-        outcome.snapshot.started_at.count() != 0)
-    {
-        if (outcome.snapshot.started_at < this->worker_info.started_at)
-        {
-            this->schedule_worker_poll(poll_retry_delay);
-            return;
-        }
-        this->on_worker_incarnation(outcome.snapshot.started_at);
-    }
+    this->on_worker_response(outcome.snapshot.started_at);
     this->lease.on_clock(outcome.snapshot.now, now);
     const bool was_valid = this->snapshot_valid;
     const bool changed =
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -73,6 +73,8 @@
     event_kind{"progress_written", 50, "job progress is stored"},
     event_kind{"jobs_trimmed", 10, "rows of ended jobs are removed after their retention period"},
     event_kind{"worker_announced", 20, "a worker has registered or changed its announcement"},
+    event_kind{"announcement_ignored", 20,
+               "an announcement that is not from the agent's worker, or not from its process"},
     event_kind{"worker_left", 20, "a worker has reported its shutdown"},
     event_kind{"worker_silent", 20, "a worker does not answer its agent"},
     event_kind{"worker_back", 20, "a worker answers its agent again"},
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -1,3 +1,4 @@
+#include "net/http_client.hpp"
 #include "support/batch_site.hpp"
 #include "support/fake_leader.hpp"
 
@@ -15,6 +16,28 @@
 using testing::fake_leader;
 using testing::start_order;
 
+/// Sends an announcement to the site's only agent.
+/// @return the status of the response; 0 if there was none.
+int announce(const batch_site& site, const std::string& id, const std::string& body)
+{
+    net::client_request request;
+    request.address = site.control(0);
+    request.method = "PUT";
+    request.path = "/v1/instances/" + id;
+    request.body = body;
+    const auto answer = net::send_request(request);
+    return answer.ok() ? answer->status : 0;
+}
+
+std::string announcement_of(const std::string& service, std::int64_t born)
+{
+    return R"({"service":")" + service +
+           R"(","address":"127.0.0.1:9","zone":"z","slots":8,"state":"ready","born":)" +
+           std::to_string(born) +
+           R"(,"clockMs":1,"seq":1000,"capacity":{"cpu":1000,"memMb":1000,"gpu":0},)"
+           R"("labels":["a","r9"]})";
+}
+
 // Guards against TWICE and LIMIT: after a cut, orders that were held up on the old connection
 // arrive behind newer ones, when the leader has placed the unit elsewhere.
 TEST_CASE("a start is not carried out after newer orders of the leader")
@@ -38,4 +61,36 @@
                                milliseconds{3000}));
 }
 
+// Guards against LOST: an agent that takes another program for its worker drops the worker's lists
+// and lets its lease expire.
+TEST_CASE("an announcement of another program does not replace the agent's worker")
+{
+    batch_site site(0, 1);
+    fake_leader leader(site.agent_address(0));
+    const auto registered = [&leader]
+    {
+        const auto report = leader.wait_for_report();
+        return report.has_value() && report->worker().announced() ? report->worker()
+                                                                  : wire::batch_worker();
+    };
+    REQUIRE(batch_site::wait_for([&] { return registered().id() == "i-0"; }));
+    const std::int64_t own_born = registered().born_ms();
+    // Later and earlier than the worker's start, without one, and under the worker's own id.
+    CHECK(announce(site, "i-other", announcement_of("unnamed", own_born + 1'000'000)) == 200);
+    CHECK(announce(site, "i-other", announcement_of("unnamed", own_born - 1)) == 200);
+    CHECK(announce(site, "i-other", announcement_of("unnamed", 0)) == 200);
+    CHECK(announce(site, "i-0", announcement_of("unnamed", own_born)) == 200);
+    for (int report = 0; report < 3; ++report)
+    {
+        const wire::batch_worker worker = registered();
+        CHECK(worker.id() == "i-0");
+        CHECK(worker.born_ms() == own_born);
+        CHECK(worker.service() == "svc");
+        CHECK(worker.capacity().accelerators() == 8);
+    }
+    leader.send(start_order("0000000000000001.0.0.0", 7, "60000"), leader.advance_clock());
+    CHECK(batch_site::wait_for([&] { return !site.workers().records().starts.empty(); },
+                               milliseconds{3000}));
+}
+
 } // namespace
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -6,6 +6,7 @@
 #include "chicorylift/batch/takeover_guard.hpp"
 #include "chicorylift/batch/worker_lease.hpp"
 #include "chicorylift/batch/worker_liveness.hpp"
+#include "chicorylift/batch/worker_registration.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -241,6 +242,67 @@
     CHECK(table.ends().empty());
 }
 
+worker_info announced_worker(const std::string& id, std::int64_t started_at)
+{
+    worker_info worker;
+    worker.id = core::worker_id(id);
+    worker.started_at = unix_time{started_at};
+    worker.service = core::service_id("s");
+    worker.capacity = {1000, 1000, 8};
+    worker.announced = true;
+    return worker;
+}
+
+// Guards against LOST: only the worker's responses tell which process it is.
+TEST_CASE("a worker is registered only after its response has named the announced process")
+{
+    worker_registration registration;
+    const worker_info own = announced_worker("own", 500);
+    CHECK(registration.on_announcement(own, 1) == registration_result::waiting);
+    CHECK(!registration.worker().announced);
+    CHECK(registration.on_response(unix_time{500}) == registration_result::accepted);
+    CHECK(registration.worker().id == own.id);
+    CHECK(registration.on_announcement(own, 2) == registration_result::accepted);
+    CHECK(registration.on_announcement(own, 1) == registration_result::outdated);
+
+    CHECK(registration.on_announcement(announced_worker("other", 900), 1) ==
+          registration_result::waiting);
+    CHECK(registration.worker().id == own.id);
+    CHECK(registration.on_response(unix_time{500}) == registration_result::rejected);
+    CHECK(registration.worker().id == own.id);
+    CHECK(!registration.on_response(unix_time{500}).has_value());
+
+    // The worker restarts on a machine whose clock has been set back.
+    CHECK(registration.on_announcement(announced_worker("own", 400), 1) ==
+          registration_result::waiting);
+    CHECK(registration.on_response(unix_time{400}) == registration_result::accepted);
+    CHECK(registration.worker().started_at == unix_time{400});
+    // Its response may come before its announcement.
+    CHECK(!registration.on_response(unix_time{600}).has_value());
+    CHECK(!registration.worker().announced);
+    CHECK(registration.on_announcement(announced_worker("own", 600), 1) ==
+          registration_result::accepted);
+}
+
+TEST_CASE("one odd announcement of the worker's process is rejected, and a repeated one accepted")
+{
+    worker_registration registration;
+    const worker_info own = announced_worker("own", 500);
+    worker_info odd = own;
+    odd.service = core::service_id("unnamed");
+    static_cast<void>(registration.on_announcement(own, 1));
+    static_cast<void>(registration.on_response(unix_time{500}));
+    CHECK(registration.on_announcement(odd, 1'000'000) == registration_result::rejected);
+    CHECK(registration.on_announcement(own, 2) == registration_result::accepted);
+    // If the odd one came first, the worker's own take over.
+    worker_registration odd_first;
+    static_cast<void>(odd_first.on_announcement(odd, 1'000'000));
+    static_cast<void>(odd_first.on_response(unix_time{500}));
+    CHECK(odd_first.on_announcement(own, 2) == registration_result::rejected);
+    CHECK(odd_first.on_announcement(own, 3) == registration_result::accepted);
+    CHECK(odd_first.worker().service == own.service);
+}
+
 TEST_CASE("a member does not campaign while another member receives heartbeats")
 {
     election member({}, instant_at(milliseconds{0}));
