Keep runs that are missing from an incomplete list of ends

Cause: a worker lists 500 ends at a time. A run that was neither running nor listed counted as never started, also when its end was beyond a full list. An agent that restarted then reported its lists as complete.

With incomplete lists no run is dropped, and until a table has seen complete lists, the leader takes no run of that worker for missing. Listed ends are still written down, which lets the worker list the others.

--- a/include/chicorylift/batch/run_table.hpp
+++ b/include/chicorylift/batch/run_table.hpp
@@ -38,6 +38,15 @@
     unknown,
 };
 
+/// A worker's lists of its runs.
+struct run_lists
+{
+    std::vector<reported_run> running;
+    std::vector<reported_end> ended;
+    /// False if further ends may follow that are not listed yet.
+    bool ends_complete = true;
+};
+
 /// An agent's table of all runs that may be alive on its worker.
 ///
 /// A start without a response may have taken effect. Its run stays in the table until the worker
@@ -64,9 +73,7 @@
     /// Updates the table from the worker's lists of running and ended runs.
     /// @param requested_at when the call that returned the lists was sent.
     /// @return whether something changed that should be reported to the leader at once.
-    bool on_run_lists(const std::vector<reported_run>& running,
-                      const std::vector<reported_end>& ended, core::instant requested_at,
-                      core::instant now);
+    bool on_run_lists(const run_lists& lists, core::instant requested_at, core::instant now);
     /// Bars starts without a response: the lease under which the leader ordered them has lapsed,
     /// and the leader may have placed their units elsewhere before it granted the present one.
     void on_lease_renewed_after_lapse(core::instant now);
@@ -81,6 +88,9 @@
     [[nodiscard]] std::vector<reported_run> runs() const;
     /// @return the ended runs in the worker's list and the runs that never started.
     [[nodiscard]] std::vector<reported_end> ends() const;
+    /// @return whether runs() and ends() include every run of the worker's process whose end has
+    /// not been acknowledged. A table that began with incomplete lists does not.
+    [[nodiscard]] bool is_complete() const noexcept { return this->complete; }
     /// @return whether the worker still lists ended runs because their acknowledgement is missing.
     [[nodiscard]] bool has_unacknowledged_ends() const noexcept
     {
@@ -109,6 +119,7 @@
     void mark_never_started(const run_key& key, const std::string& reason);
 
     std::map<run_key, entry> entries;
+    bool complete = false;
     std::vector<reported_end> unacknowledged_ends;
     /// Runs that never started, with the reason.
     std::map<run_key, std::string> unstarted;
--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -92,8 +92,10 @@
 {
     agent_id agent;
     worker_info worker;
-    /// `runs` and `ends` are complete and were read from the worker in the scheduler's epoch.
+    /// `runs` and `ends` were read from the worker in the scheduler's epoch.
     bool lists_valid = false;
+    /// Further runs may have ended on the worker that are in neither list.
+    bool lists_incomplete = false;
     /// Time since `runs` and `ends` were read.
     core::milliseconds lists_age{};
     std::vector<reported_run> runs;
--- a/src/batch/run_table.cpp
+++ b/src/batch/run_table.cpp
@@ -114,13 +114,11 @@
     found->second.retry_at = now + retry_backoff;
 }
 
-bool run_table::on_run_lists(const std::vector<reported_run>& running,
-                             const std::vector<reported_end>& ended, core::instant requested_at,
-                             core::instant now)
+bool run_table::on_run_lists(const run_lists& lists, core::instant requested_at, core::instant now)
 {
     bool changed = false;
     std::set<run_key> present;
-    for (const reported_run& each : running)
+    for (const reported_run& each : lists.running)
     {
         const run_key key{each.unit, each.run};
         present.insert(key);
@@ -139,7 +137,7 @@
         known.checkpoint = each.checkpoint;
         known.percent = each.progress_percent;
     }
-    for (const reported_end& end : ended)
+    for (const reported_end& end : lists.ended)
     {
         const bool is_new =
             std::none_of(this->unacknowledged_ends.begin(), this->unacknowledged_ends.end(),
@@ -149,7 +147,13 @@
         this->entries.erase({end.unit, end.run});
         this->unstarted.erase({end.unit, end.run});
     }
-    this->unacknowledged_ends = ended;
+    this->unacknowledged_ends = lists.ended;
+    if (!lists.ends_complete)
+    {
+        // A run that is in neither list may have ended beyond those listed.
+        return changed;
+    }
+    this->complete = true;
     std::vector<run_key> gone;
     for (const auto& [key, known] : this->entries)
     {
@@ -189,6 +193,7 @@
     this->entries.clear();
     this->unacknowledged_ends.clear();
     this->unstarted.clear();
+    this->complete = false;
 }
 
 void run_table::on_not_started_acknowledged(const run_key& key)
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -74,8 +74,14 @@
         listed.insert({run.run, run.unit.index});
         this->on_reported_run(worker, run, now);
     }
-    this->handle_missing_runs(worker, listed, restarted, now);
-    this->mark_reconciled(worker);
+    if (restarted || !report.lists_incomplete)
+    {
+        this->handle_missing_runs(worker, listed, restarted, now);
+    }
+    if (!report.lists_incomplete)
+    {
+        this->mark_reconciled(worker);
+    }
 }
 
 void site_scheduler::implementation::update_worker_info(worker_state& worker,
--- a/src/ports/worker_control.hpp
+++ b/src/ports/worker_control.hpp
@@ -54,6 +54,8 @@
     std::vector<batch::reported_run> running;
     /// Ends with a number above poll_request::acknowledged_end.
     std::vector<batch::reported_end> ended;
+    /// False if further ends may follow, which the worker lists once these are acknowledged.
+    bool ends_complete = true;
 };
 
 /// Request for a worker's run lists; also renews its lease and acknowledges ends.
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -308,6 +308,7 @@
     report.set_agent(this->values.name);
     *report.mutable_worker() = to_message(this->worker_info);
     report.set_lists_valid(this->snapshot_valid);
+    report.set_lists_incomplete(!this->runs.is_complete());
     report.set_lists_age_ms(
         static_cast<std::uint32_t>(this->liveness.time_since_response(now).count()));
     if (this->snapshot_valid)
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -242,8 +242,9 @@
     this->on_worker_response(outcome.snapshot.started_at);
     this->lease.on_clock(outcome.snapshot.now, now);
     const bool was_valid = this->snapshot_valid;
-    const bool changed =
-        this->runs.on_run_lists(outcome.snapshot.running, outcome.snapshot.ended, sent_at, now);
+    const bool changed = this->runs.on_run_lists(
+        {outcome.snapshot.running, outcome.snapshot.ended, outcome.snapshot.ends_complete}, sent_at,
+        now);
     if (poll_epoch == this->epoch)
     {
         this->snapshot_valid = true;
--- a/src/site/row_codec.cpp
+++ b/src/site/row_codec.cpp
@@ -285,6 +285,7 @@
     report.agent = batch::agent_id(message.agent());
     report.worker = from(message.worker());
     report.lists_valid = message.lists_valid();
+    report.lists_incomplete = message.lists_incomplete();
     report.agent_stopping = message.leaving();
     report.lists_age = core::milliseconds{message.lists_age_ms()};
     for (const wire::batch_run& run : message.runs())
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -375,6 +375,32 @@
     }
 }
 
+// Guards against TWICE: while the store is away, more runs end than a worker lists.
+TEST_CASE("a unit whose end the worker has not listed yet is not started again")
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed)
+    {
+        CAPTURE(seed);
+        testing::site_shape shape;
+        shape.max_listed_ends = 2;
+        virtual_site site(seed, shape);
+        add_mixed_load(site, 40);
+        const milliseconds outage_start{6000 + seed * 150};
+        site.store_out(outage_start, seconds{5});
+        // Agents that restart know of no run whose end is not listed; some follow a new leader.
+        for (int worker = 0; worker < 12; worker += 3)
+        {
+            site.restart_agent(outage_start + milliseconds{3500}, worker);
+        }
+        if (seed % 2 == 0)
+        {
+            site.replace_leader(outage_start + milliseconds{4900}, milliseconds{300});
+        }
+        site.play(seconds{150});
+        check_no_violations(site);
+    }
+}
+
 TEST_CASE("restarts of workers and agents do not run a unit twice")
 {
     for (std::uint32_t seed = 1; seed <= 40; ++seed)
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -183,12 +183,12 @@
     CHECK(stops.front().what == worker_command::kind::stop);
     // Before the stop is acknowledged, lists without the run do not show that it is gone. Neither
     // do lists that were requested before the acknowledgement.
-    table.on_run_lists({}, {}, instant_at(milliseconds{1500}), instant_at(milliseconds{1501}));
+    table.on_run_lists({}, instant_at(milliseconds{1500}), instant_at(milliseconds{1501}));
     CHECK(table.runs().size() == 1);
     table.on_stop_result(key, true, instant_at(milliseconds{1600}));
-    table.on_run_lists({}, {}, instant_at(milliseconds{1550}), instant_at(milliseconds{1601}));
+    table.on_run_lists({}, instant_at(milliseconds{1550}), instant_at(milliseconds{1601}));
     CHECK(table.runs().size() == 1);
-    table.on_run_lists({}, {}, instant_at(milliseconds{1700}), instant_at(milliseconds{1701}));
+    table.on_run_lists({}, instant_at(milliseconds{1700}), instant_at(milliseconds{1701}));
     CHECK(table.runs().empty());
     REQUIRE(table.ends().size() == 1);
     CHECK(table.ends().front().outcome == run_outcome::never_started);
@@ -228,6 +228,36 @@
     CHECK(commands.front().what == worker_command::kind::stop);
 }
 
+// Guards against TWICE: a worker lists 500 ends at a time, and the end of a run may be beyond them.
+TEST_CASE("a run that is missing from incomplete lists is kept")
+{
+    run_table table;
+    worker_command start;
+    start.unit = unit("j");
+    start.run = 5;
+    REQUIRE(table.on_start_command(start, instant_at(milliseconds{0})).has_value());
+    table.on_start_result({start.unit, 5}, start_result::accepted, "",
+                          instant_at(milliseconds{10}));
+    run_lists lists;
+    lists.ends_complete = false;
+    table.on_run_lists(lists, instant_at(milliseconds{20}), instant_at(milliseconds{21}));
+    CHECK(table.runs().size() == 1);
+    CHECK(table.ends().empty());
+    // Whether a table knows all runs is open until it has seen complete lists once.
+    CHECK(!table.is_complete());
+    lists.running.push_back({start.unit, 5, run_phase::running, "", 20});
+    lists.ends_complete = true;
+    table.on_run_lists(lists, instant_at(milliseconds{30}), instant_at(milliseconds{31}));
+    CHECK(table.is_complete());
+    lists.running.clear();
+    lists.ends_complete = false;
+    table.on_run_lists(lists, instant_at(milliseconds{40}), instant_at(milliseconds{41}));
+    CHECK(table.is_complete());
+    CHECK(table.runs().size() == 1);
+    table.on_worker_restarted();
+    CHECK(!table.is_complete());
+}
+
 TEST_CASE("lists requested before a start was accepted do not remove its run")
 {
     run_table table;
@@ -237,7 +267,7 @@
     REQUIRE(table.on_start_command(start, instant_at(milliseconds{10})).has_value());
     table.on_start_result({start.unit, 5}, start_result::accepted, "",
                           instant_at(milliseconds{20}));
-    table.on_run_lists({}, {}, instant_at(milliseconds{15}), instant_at(milliseconds{30}));
+    table.on_run_lists({}, instant_at(milliseconds{15}), instant_at(milliseconds{30}));
     CHECK(table.runs().size() == 1);
     CHECK(table.ends().empty());
 }
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -117,6 +117,29 @@
     CHECK(site.call(0, "GET", "").body.find("\"pending\":0") != std::string::npos);
 }
 
+// Guards against TWICE: a worker lists 500 ends at a time, and nobody can write them down.
+TEST_CASE("units whose ends exceed a worker's list during a store outage run once")
+{
+    constexpr int units = 560;
+    batch_site site(1, 1);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    REQUIRE(submit(site, 1,
+                   R"({"spec":"8000","steps":[{"count":)" + std::to_string(units) +
+                       R"(,"cpu":40,"memMb":10,"estimateMs":40000}]})") == 200);
+    REQUIRE(batch_site::wait_for(
+        [&] { return static_cast<int>(site.workers().records().starts.size()) == units; }));
+    testing::store_faults busy;
+    busy.busy = true;
+    site.store().set_faults(busy);
+    CHECK(batch_site::wait_for(
+        [&] { return static_cast<int>(site.workers().records().done.size()) == units; }));
+    std::this_thread::sleep_for(seconds{1});
+    site.store().set_faults({});
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    check_units_ran_once(site, units);
+}
+
 TEST_CASE("a job ends as failed after its queue's maximum number of attempts")
 {
     batch_site site(1, 2);
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -19,6 +19,7 @@
 constexpr core::milliseconds stop_time{60};
 constexpr core::milliseconds gang_patience{3000};
 constexpr int status_conflict = 409;
+constexpr std::size_t max_listed_ends = 500;
 
 struct run
 {
@@ -401,6 +402,10 @@
         Poco::JSON::Array::Ptr finished(new Poco::JSON::Array);
         for (const end& each : one.ends)
         {
+            if (finished->size() == max_listed_ends)
+            {
+                break;
+            }
             Poco::JSON::Array::Ptr row(new Poco::JSON::Array);
             row->add(each.number);
             row->add(each.unit);
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -443,7 +443,13 @@
             each.checkpoint = this->saved_of(run, false);
             running.push_back(std::move(each));
         }
-        const bool changed = worker.table->on_run_lists(running, worker.ends, this->now, this->now);
+        batch::run_lists lists;
+        lists.running = std::move(running);
+        const std::size_t listed = std::min(worker.ends.size(), this->shape.max_listed_ends);
+        lists.ended.assign(worker.ends.begin(),
+                           worker.ends.begin() + static_cast<std::ptrdiff_t>(listed));
+        lists.ends_complete = listed < this->shape.max_listed_ends;
+        const bool changed = worker.table->on_run_lists(lists, this->now, this->now);
         const bool was_valid = worker.lists_valid;
         worker.lists_valid = true;
         if (changed || !was_valid)
@@ -473,6 +479,7 @@
         report.agent = worker.agent;
         report.worker = worker.info;
         report.lists_valid = worker.lists_valid;
+        report.lists_incomplete = !worker.table->is_complete();
         report.runs = worker.table->runs();
         report.ends = worker.table->ends();
         const std::uint64_t sequence = ++worker.sequence;
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -27,6 +27,8 @@
     core::milliseconds checkpoint_interval{500};
     core::milliseconds stop_time{300};
     core::milliseconds gang_patience{3000};
+    /// A worker lists this many ends at a time.
+    std::size_t max_listed_ends = 500;
     /// Time until a write is answered.
     core::milliseconds write_time{6};
     double remote_factor = 3;
