Leave out odd entries of other writers instead of ending or losing a worker

It could happen here: a member row with a port out of range ended every agent (ZeroMQ's exception in the transport's thread), a job row with 2^63 - 1 units ended the leader, an unreadable leader row kept anyone from leading for good, and one odd row in a worker's lists let its lease lapse.

Cause: rows, lists and messages were taken as well-formed once their outer encoding could be read.

Fix: they are checked entry by entry where they are decoded; an odd entry is left out and logged (row_ignored, worker_rows_ignored). A list with rows left out counts as incomplete, so that no run is taken for gone. An unreadable leader row is replaced by the next campaign.

The tests in site_test failed before: with odd rows two agents ended with zmq::error_t and one with vector::_M_default_append; with an unreadable leader row no job was completed in 30 s; with odd rows in a worker's lists its unit was started again.

--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -67,10 +67,15 @@
         this->inbound.bind("tcp://" + settings.listen_address);
     }
 
-    peer& peer_at(const std::string& address, const transport_settings& settings)
+    /// @return the peer, or null if the address is not one that can be connected to.
+    peer* peer_at(const std::string& address, const transport_settings& settings)
     {
         auto found = this->peers.find(address);
-        if (found == this->peers.end())
+        if (found != this->peers.end())
+        {
+            return &found->second;
+        }
+        try
         {
             zmq::socket_t socket(this->context, zmq::socket_type::dealer);
             socket.set(zmq::sockopt::linger, linger_ms);
@@ -87,7 +92,12 @@
             socket.connect("tcp://" + address);
             found = this->peers.emplace(address, peer{std::move(socket), {}, {}}).first;
         }
-        return found->second;
+        catch (const zmq::error_t&)
+        {
+            // Addresses come from other processes' messages and rows.
+            return nullptr;
+        }
+        return &found->second;
     }
 
     zmq::context_t context{1};
@@ -211,7 +221,14 @@
     {
         while (auto next = this->send_queue.try_pop_for(core::milliseconds{0}))
         {
-            peer& to = all.peer_at(next->address, this->settings);
+            peer* const found = all.peer_at(next->address, this->settings);
+            if (found == nullptr)
+            {
+                ++this->undeliverable;
+                this->on_undeliverable(next->address, std::move(next->message));
+                continue;
+            }
+            peer& to = *found;
             to.used = now;
             // Keeps the order per peer: a message is not sent before those that already wait.
             if (to.waiting.empty() && try_send(to, next->message))
--- a/src/ports/worker_control.hpp
+++ b/src/ports/worker_control.hpp
@@ -54,8 +54,11 @@
     std::vector<batch::reported_run> running;
     /// Ends with a number above poll_request::acknowledged_end.
     std::vector<batch::reported_end> ended;
-    /// False if further ends may follow, which the worker lists once these are acknowledged.
+    /// False if further ends may follow, which the worker lists once these are acknowledged, or if
+    /// rows could not be read.
     bool ends_complete = true;
+    /// Rows of both lists that could not be read, and are left out.
+    std::size_t unreadable_rows{};
 };
 
 /// Request for a worker's run lists; also renews its lease and acknowledges ends.
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -406,9 +406,15 @@
     }
     wire::batch_lead_row current;
     ports::revision version = 0;
-    if (!page->rows.empty() && current.ParseFromString(page->rows.front().value))
+    if (!page->rows.empty())
     {
+        // A row that is not a leader's is replaced by the next campaign.
         version = page->rows.front().version;
+        if (!current.ParseFromString(page->rows.front().value))
+        {
+            log_ignored_row(page->rows.front(), "not a leader");
+            current.Clear();
+        }
     }
     if (current.epoch() > this->epoch)
     {
@@ -432,7 +438,7 @@
     // A leader's heartbeat may have arrived while the row was read.
     if (may_campaign && this->election.is_campaigning() && this->election.on_store_reachable(now))
     {
-        this->campaign(current.epoch() + 1, version);
+        this->campaign(std::max(current.epoch(), this->epoch) + 1, version);
     }
 }
 
@@ -513,12 +519,11 @@
         {
             for (std::size_t index = 0; page.ok() && index < page->rows.size(); ++index)
             {
-                wire::batch_member member;
-                if (member.ParseFromString(page->rows[index].value) && !member.agent().empty() &&
-                    member.agent() != this->values.name &&
+                const auto member = parse_member(page->rows[index]);
+                if (member.has_value() && member->agent() != this->values.name &&
                     this->probe_targets.size() < batch::probe_sample_size)
                 {
-                    this->probe_targets[member.agent()] = member.address();
+                    this->probe_targets[member->agent()] = member->address();
                 }
             }
             // Until a leader sends the targets, new members are read from the store.
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -241,6 +241,12 @@
     }
     this->on_worker_response(outcome.snapshot.started_at);
     this->lease.on_clock(outcome.snapshot.now, now);
+    if (outcome.snapshot.unreadable_rows > 0)
+    {
+        events::write("worker_rows_ignored",
+                      {{"worker", this->worker_info.id.str()},
+                       {"rows", static_cast<std::uint64_t>(outcome.snapshot.unreadable_rows)}});
+    }
     const bool was_valid = this->snapshot_valid;
     const bool changed = this->runs.on_run_lists(
         {outcome.snapshot.running, outcome.snapshot.ended, outcome.snapshot.ends_complete}, sent_at,
--- a/src/site/job_view.cpp
+++ b/src/site/job_view.cpp
@@ -41,14 +41,16 @@
     cached_job& job = this->jobs[key->job];
     if (key->kind == job_row_kind::accepted)
     {
-        wire::batch_job stored;
-        if (stored.ParseFromString(row.value))
+        const auto stored = parse_job(row);
+        if (!stored.has_value())
         {
-            job.queue = batch::queue_id(stored.terms().queue());
-            job.organisation = core::organisation_id(stored.organisation());
-            job.has_schedule = stored.occurrences() > 0;
-            job.accepted_version = row.version;
+            log_ignored_row(row, "not a valid job");
+            return;
         }
+        job.queue = batch::queue_id(stored->terms().queue());
+        job.organisation = core::organisation_id(stored->organisation());
+        job.has_schedule = stored->occurrences() > 0;
+        job.accepted_version = row.version;
     }
     else if (key->kind == job_row_kind::progress)
     {
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -134,7 +134,7 @@
 void leader::on_report(const wire::envelope& message)
 {
     const wire::batch_report& report = message.unit_report();
-    if (this->stepped_down)
+    if (this->stepped_down || report.agent().empty())
     {
         return;
     }
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -29,20 +29,25 @@
 
 void leader::on_member_row(const ports::row& row)
 {
-    wire::batch_member member;
-    if (row.removed || !member.ParseFromString(row.value) || member.agent().empty())
+    if (row.removed)
+    {
+        return;
+    }
+    const auto member = parse_member(row);
+    if (!member.has_value())
     {
+        log_ignored_row(row, "not a valid member");
         return;
     }
-    agent_state& state = this->agents[member.agent()];
-    if (state.address != member.address())
+    agent_state& state = this->agents[member->agent()];
+    if (state.address != member->address())
     {
-        state.address = member.address();
+        state.address = member->address();
         ++this->members_version;
     }
-    this->scheduler.add_agent(batch::agent_id(member.agent()));
-    this->guard.add_agent(batch::agent_id(member.agent()));
-    this->confirmation.add_agent(batch::agent_id(member.agent()));
+    this->scheduler.add_agent(batch::agent_id(member->agent()));
+    this->guard.add_agent(batch::agent_id(member->agent()));
+    this->confirmation.add_agent(batch::agent_id(member->agent()));
 }
 
 void leader::on_config_row(const ports::row& row)
@@ -63,6 +68,10 @@
     {
         this->on_observed_epoch(current.epoch());
     }
+    else if (!row.removed)
+    {
+        log_ignored_row(row, "not a leader");
+    }
 }
 
 void leader::on_job_row(const ports::row& row)
@@ -105,26 +114,26 @@
 
 void leader::on_accepted_row(const ports::row& row)
 {
-    wire::batch_job stored;
-    if (!stored.ParseFromString(row.value))
+    auto stored = parse_job(row);
+    if (!stored.has_value())
     {
-        events::write("unlisted", {{"row", row.id.key}, {"reason", "malformed job row"}});
+        log_ignored_row(row, "not a valid job");
         return;
     }
-    const core::job_id id(stored.id());
+    const core::job_id id(stored->id());
     if (!this->loaded)
     {
-        this->pending_job_rows[id] = std::move(stored);
+        this->pending_job_rows[id] = std::move(*stored);
         return;
     }
-    this->scheduler.add_job(from_row(stored), {}, this->cancel_rows.contains(id),
+    this->scheduler.add_job(from_row(*stored), {}, this->cancel_rows.contains(id),
                             this->context.loop.now());
     events::write("job_known",
                   {{"job", id.str()},
-                   {"queue", stored.terms().queue()},
-                   {"organisation", stored.organisation()},
+                   {"queue", stored->terms().queue()},
+                   {"organisation", stored->organisation()},
                    {"accepted_ms_ago",
-                    (support::unix_now() - batch::unix_time{stored.accepted_ms()}).count()},
+                    (support::unix_now() - batch::unix_time{stored->accepted_ms()}).count()},
                    {"row_version", row.version}});
     this->schedule_pass();
 }
--- a/src/site/row_codec.cpp
+++ b/src/site/row_codec.cpp
@@ -1,5 +1,8 @@
 #include "site/row_codec.hpp"
 
+#include "net/address.hpp"
+#include "support/events.hpp"
+
 namespace chicorylift::site
 {
 
@@ -97,11 +100,25 @@
 
 batch::run_outcome from(wire::batch_end_kind kind)
 {
-    return kind == wire::BATCH_END_UNKNOWN
+    return kind == wire::BATCH_END_UNKNOWN || !wire::batch_end_kind_IsValid(kind)
                ? batch::run_outcome::stopped
                : static_cast<batch::run_outcome>(static_cast<int>(kind) - 1);
 }
 
+batch::run_phase from(wire::batch_run_phase phase)
+{
+    return wire::batch_run_phase_IsValid(phase)
+               ? static_cast<batch::run_phase>(static_cast<int>(phase))
+               : batch::run_phase::starting;
+}
+
+batch::job_outcome from(wire::batch_outcome outcome)
+{
+    return wire::batch_outcome_IsValid(outcome)
+               ? static_cast<batch::job_outcome>(static_cast<int>(outcome))
+               : batch::job_outcome::unfinished;
+}
+
 batch::worker_info from(const wire::batch_worker& message)
 {
     batch::worker_info worker;
@@ -162,6 +179,37 @@
     return parsed;
 }
 
+std::optional<wire::batch_member> parse_member(const ports::row& row)
+{
+    wire::batch_member member;
+    if (!member.ParseFromString(row.value) || member.agent() != row.id.key ||
+        !net::is_address(member.address()))
+    {
+        return std::nullopt;
+    }
+    return member;
+}
+
+std::optional<wire::batch_job> parse_job(const ports::row& row)
+{
+    wire::batch_job job;
+    const auto key = parse_job_row_key(row.id.key);
+    if (!key.has_value() || !job.ParseFromString(row.value) || job.id() != key->job.str() ||
+        !batch::validate_job(from_row(job)).ok())
+    {
+        return std::nullopt;
+    }
+    return job;
+}
+
+void log_ignored_row(const ports::row& row, std::string_view reason)
+{
+    support::events::write("row_ignored", {{"table", row.id.table},
+                                           {"key", row.id.key},
+                                           {"row_version", row.version},
+                                           {"reason", reason}});
+}
+
 wire::batch_job to_row(const batch::job_spec& job)
 {
     wire::batch_job row;
@@ -238,7 +286,7 @@
 batch::job_progress from_row(const wire::batch_progress& row)
 {
     batch::job_progress progress;
-    progress.outcome = static_cast<batch::job_outcome>(static_cast<int>(row.outcome()));
+    progress.outcome = from(row.outcome());
     for (const wire::batch_done_units& done : row.done())
     {
         progress.completed.push_back(
@@ -293,9 +341,8 @@
         const auto unit = batch::parse_unit_key(run.unit());
         if (unit.ok())
         {
-            report.runs.push_back({*unit, run.run(),
-                                   static_cast<batch::run_phase>(static_cast<int>(run.phase())),
-                                   run.checkpoint(), run.percent()});
+            report.runs.push_back(
+                {*unit, run.run(), from(run.phase()), run.checkpoint(), run.percent()});
         }
     }
     for (const wire::batch_end& end : message.ends())
--- a/src/site/row_codec.hpp
+++ b/src/site/row_codec.hpp
@@ -44,6 +44,13 @@
 /// @return the parsed key, or nullopt if it is not the key of a job's row.
 [[nodiscard]] std::optional<job_row_key> parse_job_row_key(std::string_view key);
 
+/// @return the member in the row, or nothing if its name or address is not valid.
+[[nodiscard]] std::optional<wire::batch_member> parse_member(const ports::row& row);
+/// @return the job in the row, or nothing if it is not a valid job with the row's key.
+[[nodiscard]] std::optional<wire::batch_job> parse_job(const ports::row& row);
+/// Logs a row that the caller could not use.
+void log_ignored_row(const ports::row& row, std::string_view reason);
+
 [[nodiscard]] wire::batch_job to_row(const batch::job_spec& job);
 [[nodiscard]] batch::job_spec from_row(const wire::batch_job& row);
 [[nodiscard]] wire::batch_progress to_row(const batch::job_progress& progress);
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -1,9 +1,9 @@
 #include "site/settings.hpp"
 
 #include "chicorylift/core/error.hpp"
+#include "net/address.hpp"
 
 #include <CLI/CLI.hpp>
-#include <Poco/Net/SocketAddress.h>
 #include <array>
 #include <cstdlib>
 #include <iostream>
@@ -52,18 +52,9 @@
 
 absl::Status check_address(const std::string& setting, const std::string& value)
 {
-    try
-    {
-        if (Poco::Net::SocketAddress(value).toString() == value)
-        {
-            return absl::OkStatus();
-        }
-    }
-    catch (const std::exception&)
-    {
-        // Reported below like every other malformed address.
-    }
-    return invalid(setting, value, "an IP number and a port, such as 127.0.0.1:7000");
+    return net::is_address(value)
+               ? absl::OkStatus()
+               : invalid(setting, value, "an IP number and a port, such as 127.0.0.1:7000");
 }
 
 absl::Status check_time(const std::string& setting, core::milliseconds value, std::int64_t min,
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -93,4 +93,38 @@
                                milliseconds{3000}));
 }
 
+// Guards against agents that end, or lose their worker, because of what another program sends.
+TEST_CASE("odd announcements leave an agent and its worker's registration as they are")
+{
+    batch_site site(0, 1);
+    fake_leader leader(site.agent_address(0));
+    REQUIRE(leader.wait_for_report().has_value());
+    const std::string nested(100'000, '[');
+    const std::string ready = R"("zone":"z","state":"ready","born":1,"seq":1,"capacity":{"cpu":1})";
+    for (const std::string& body :
+         {nested, R"({"service":)" + nested + std::string(100'000, ']') + "," + ready + "}",
+          R"({"service":"svc","seq":99999999999999999999999,)" + ready + "}",
+          R"({"service":"svc",)" + ready + R"(,"born":1e400})",
+          std::string(R"({"service":"svc","zone":"z","state":"ready","born":1,"seq":-1,)"
+                      R"("capacity":{"cpu":1}})"),
+          std::string(R"({"service":"svc","zone":"z","state":"ready","born":1,"seq":1,)"
+                      R"("capacity":{"cpu":-9223372036854775808}})"),
+          std::string(R"({"service":"svc","zone":"z","state":"gone","born":1,"seq":1,)"
+                      R"("capacity":{}})"),
+          std::string("\xff\xfe"), std::string()})
+    {
+        CAPTURE(body.substr(0, 100));
+        CHECK(announce(site, "i-0", body) == 400);
+    }
+    // Well-formed, and of no worker: the address has no valid port.
+    CHECK(announce(site, "i-odd",
+                   R"({"service":"svc","address":"127.0.0.1:99999",)" + ready + "}") == 200);
+    const auto report = leader.wait_for_report();
+    REQUIRE(report.has_value());
+    CHECK(report->worker().id() == "i-0");
+    leader.send(start_order("0000000000000001.0.0.0", 7, "60000"), leader.advance_clock());
+    CHECK(batch_site::wait_for([&] { return !site.workers().records().starts.empty(); },
+                               milliseconds{3000}));
+}
+
 } // namespace
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 #include "support/batch_site.hpp"
+#include "wire/batch.pb.h"
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -8,6 +9,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <unistd.h>
 
@@ -140,6 +142,85 @@
     check_units_ran_once(site, units);
 }
 
+/// Rows that no process of the system writes: addresses and numbers out of range, foreign bytes.
+void put_odd_rows(batch_site& site)
+{
+    const std::string partition = "site";
+    int number = 0;
+    for (const char* const address :
+         {"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1", "[::", "not an address"})
+    {
+        const std::string name = "odd-" + std::to_string(number++);
+        wire::batch_member member;
+        member.set_agent(name);
+        member.set_address(address);
+        site.store().put("members", name, member.SerializeAsString(), partition);
+    }
+    site.store().put("members", "odd-bytes", std::string(70'000, '\xff'), partition);
+    wire::batch_job job;
+    job.set_id("00000000000000aa");
+    job.mutable_terms()->set_queue("q");
+    job.mutable_terms()->set_service("svc");
+    job.add_steps()->set_units(std::numeric_limits<std::int64_t>::max());
+    site.store().put("jobs", "00000000000000aa/accepted", job.SerializeAsString(), partition);
+    job.set_id("00000000000000ab");
+    job.mutable_steps(0)->set_units(1);
+    job.mutable_steps(0)->add_after(std::numeric_limits<std::int64_t>::max());
+    site.store().put("jobs", "00000000000000ab/accepted", job.SerializeAsString(), partition);
+    wire::batch_progress progress;
+    progress.set_outcome(static_cast<wire::batch_outcome>(77));
+    site.store().put("jobs", "00000000000000ab/progress", progress.SerializeAsString(), partition);
+    site.store().put("jobs", "00000000000000ac/accepted", std::string(100, '\xff'), partition);
+}
+
+// Guards against processes that end again and again: other programs may leave odd rows.
+TEST_CASE("odd rows of other writers end no process and stop none from following the store")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    put_odd_rows(site);
+    CHECK(submit(site, 1, job_body("200", 3, 2, false)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    check_units_ran_once(site, 3);
+    // A new leader reads all rows again.
+    site.agent(site.leader()).kill_now();
+    CHECK(submit(site, 2, job_body("200", 2, 2, false)) == 200);
+    CHECK(site.wait_for_state(job_name(2), "completed"));
+    CHECK(site.workers().records().violations.empty());
+    for (int index = 0; index < 3; ++index)
+    {
+        CHECK(site.agent(index).output().find("terminate called") == std::string::npos);
+    }
+}
+
+TEST_CASE("a worker that lists rows which cannot be read keeps its work")
+{
+    batch_site site(1, 2);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    REQUIRE(submit(site, 1,
+                   R"({"spec":"4000","steps":[{"count":2,"cpu":1000,"memMb":1000,"gpu":8,)"
+                   R"("estimateMs":40000}]})") == 200);
+    REQUIRE(site.wait_for_state(job_name(1), "running"));
+    site.workers().list_odd_rows("i-0");
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    check_units_ran_once(site, 2);
+    CHECK(site.workers().records().starts[job_name(1) + ".0.0.0"] == 1);
+    CHECK(site.workers().records().starts[job_name(1) + ".0.0.1"] == 1);
+}
+
+TEST_CASE("a leader row that another writer has overwritten is replaced")
+{
+    batch_site site(1, 2);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    site.store().put("lead", "lead", std::string(40, '\xff'), "site");
+    CHECK(submit(site, 1, job_body("200", 2, 2, false)) == 200);
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    check_units_ran_once(site, 2);
+}
+
 TEST_CASE("a job ends as failed after its queue's maximum number of attempts")
 {
     batch_site site(1, 2);
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -360,15 +360,16 @@
     this->inner->oldest = this->inner->version;
 }
 
-void site_store::put(const std::string& table, const std::string& key, const std::string& value)
+void site_store::put(const std::string& table, const std::string& key, const std::string& value,
+                     const std::string& partition)
 {
     this->inner->loop.post(
-        [self = this->inner, table, key, value]
+        [self = this->inner, table, key, value, partition]
         {
             std::string encoded;
             absl::Base64Escape(absl::string_view(value.data(), value.size()), &encoded);
             const std::lock_guard lock(self->guard);
-            self->table[{table, "", key}] = {encoded, ++self->version, false};
+            self->table[{table, partition, key}] = {encoded, ++self->version, false};
             self->wake_feeds();
         });
 }
--- a/tests/standins/site_store.hpp
+++ b/tests/standins/site_store.hpp
@@ -42,8 +42,9 @@
     void set_faults(const store_faults& faults);
     /// Drops the history: feeds that continue from before are told that it is gone.
     void forget_history();
-    /// Writes a row as the operators do.
-    void put(const std::string& table, const std::string& key, const std::string& value);
+    /// Writes a row as the operators do, or another program.
+    void put(const std::string& table, const std::string& key, const std::string& value,
+             const std::string& partition = {});
     /// @return calls so far.
     [[nodiscard]] std::uint64_t calls() const;
     /// @return rows of a table.
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -57,6 +57,7 @@
     std::int64_t lease_until{};
     std::vector<responder> waiting;
     bool silent = false;
+    bool lists_odd_rows = false;
 };
 
 std::int64_t now_ms()
@@ -414,6 +415,16 @@
             row->add("");
             finished->add(row);
         }
+        if (one.lists_odd_rows)
+        {
+            Poco::JSON::Array::Ptr odd(new Poco::JSON::Array);
+            odd->add("0000000000000099.0.0.0");
+            odd->add(-1.5);
+            odd->add(std::string("saved"));
+            running->add(odd);
+            running->add(7);
+            finished->add(odd);
+        }
         Poco::JSON::Object body;
         body.set("clockMs", now_ms());
         body.set("born", one.born);
@@ -536,6 +547,12 @@
     this->inner->workers.at(id).silent = silent;
 }
 
+void site_workers::list_odd_rows(const std::string& id)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->workers.at(id).lists_odd_rows = true;
+}
+
 void site_workers::delay_starts(int count, core::milliseconds late)
 {
     const std::lock_guard lock(this->inner->guard);
