Don't place units by the properties of a worker's earlier process

Cause: until a worker registers with its agent's new process, the leader keeps its last known properties, also when the worker itself has restarted.

Fix: a worker that reports another start without having registered counts as not registered, so that nothing is placed on it before it tells its properties.

The test in batch_takeover_test failed before.

--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -95,12 +95,14 @@
     }
     else
     {
-        // The agent has restarted and its worker has not registered with it yet. Keeps the worker's
-        // last known properties until then.
+        // The worker has not registered with its agent's process yet. Until then its last known
+        // properties hold, unless it has restarted: it may be of another kind now.
         worker.info.unresponsive = report.worker.unresponsive;
-        if (report.worker.started_at.count() != 0)
+        if (report.worker.started_at.count() != 0 &&
+            report.worker.started_at != worker.info.started_at)
         {
             worker.info.started_at = report.worker.started_at;
+            worker.info.announced = false;
         }
     }
     if (worker.info.unresponsive && !was_unresponsive)
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -335,6 +335,28 @@
     CHECK(scheduler.due_commands(instant_at(milliseconds{10'050}), false).empty());
 }
 
+// Guards against ROUTE: after a loss of power a worker may come back as another kind.
+TEST_CASE("a worker that has restarted gets no units by the properties of its earlier process")
+{
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    const auto starts_a_unit = [&scheduler](const worker_report& report, milliseconds at)
+    {
+        scheduler.on_report(report, instant_at(at));
+        scheduler.on_renewal_sent(report.agent, instant_at(at));
+        return !scheduler.schedule(instant_at(at), {}, true).empty();
+    };
+    CHECK(!starts_a_unit(report_of("a"), milliseconds{10'010}));
+    worker_report restarted = report_of("a");
+    restarted.worker = {};
+    restarted.worker.started_at = unix_time{2};
+    scheduler.on_report(restarted, instant_at(milliseconds{10'500}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'510}));
+    CHECK(!starts_a_unit(restarted, milliseconds{10'600}));
+    worker_report registered = report_of("a");
+    registered.worker.started_at = unix_time{2};
+    CHECK(starts_a_unit(registered, milliseconds{11'000}));
+}
+
 // An agent that restarts does not know its worker's state until the worker registers again.
 TEST_CASE("a worker that was leaving gets no new units after its agent or the leader restarts")
 {
