Don't keep failed runs of units that last

Cause: failed runs were kept and written for units without a limit of attempts too.

Fix: they are kept only where attempts are limited, so the row no longer grows with the runs. A row of very many finished units can still outgrow the store's limit; that stays open.

The test in batch_takeover_test failed before.

--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -48,7 +48,8 @@
 void restore_failed(job_state& job, const failed_run& failed)
 {
     if (has_step(job, failed.occurrence, failed.step) && failed.unit >= 0 &&
-        failed.unit < job.spec.steps[to_index(failed.step)].units)
+        failed.unit < job.spec.steps[to_index(failed.step)].units &&
+        !job.spec.steps[to_index(failed.step)].long_running)
     {
         get_or_create_occurrence(job, failed.occurrence)[to_index(failed.step)]
             .units[to_index(failed.unit)]
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -136,7 +136,8 @@
 {
     unit_state& unit = job.occurrences[occurrence][to_index(step)].units[to_index(index)];
     unit.failed_on.insert(agent);
-    if (!unit.failed.insert(run).second || job.spec.steps[to_index(step)].long_running)
+    // Long-running units have no limit of attempts, and fail without end.
+    if (job.spec.steps[to_index(step)].long_running || !unit.failed.insert(run).second)
     {
         return;
     }
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -335,6 +335,29 @@
     CHECK(scheduler.due_commands(instant_at(milliseconds{10'050}), false).empty());
 }
 
+// Guards against writes that the store refuses: a job's progress row holds 64 KB.
+TEST_CASE("failed runs of a long-running unit do not add to its job's progress")
+{
+    job_spec job = one_unit_job();
+    job.steps.front().long_running = true;
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    scheduler.add_job(job, {}, false, instant_at(milliseconds{10'000}));
+    std::uint64_t ends = 0;
+    for (milliseconds now{10'010}; now < milliseconds{70'000}; now += milliseconds{1000})
+    {
+        worker_report report = report_of("a");
+        scheduler.on_report(report, instant_at(now));
+        scheduler.on_renewal_sent(report.agent, instant_at(now));
+        for (const agent_command& command : scheduler.schedule(instant_at(now), {}, true))
+        {
+            report.ends.push_back({++ends, command.unit, command.run, run_outcome::failed, {}, {}});
+        }
+        scheduler.on_report(report, instant_at(now + milliseconds{10}));
+    }
+    CHECK(ends > 3);
+    CHECK(scheduler.progress_of(job.id).failed.empty());
+}
+
 // Guards against ROUTE: after a loss of power a worker may come back as another kind.
 TEST_CASE("a worker that has restarted gets no units by the properties of its earlier process")
 {
