--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -101,9 +101,10 @@
     REQUIRE(leader.wait_for_report().has_value());
     const std::string nested(100'000, '[');
     const std::string ready = R"("zone":"z","state":"ready","born":1,"seq":1,"capacity":{"cpu":1})";
+    std::string deep_service = R"({"service":)";
+    deep_service.append(nested).append(nested.size(), ']').append(",").append(ready).append("}");
     for (const std::string& body :
-         {nested, R"({"service":)" + nested + std::string(100'000, ']') + "," + ready + "}",
-          R"({"service":"svc","seq":99999999999999999999999,)" + ready + "}",
+         {nested, deep_service, R"({"service":"svc","seq":99999999999999999999999,)" + ready + "}",
           R"({"service":"svc",)" + ready + R"(,"born":1e400})",
           std::string(R"({"service":"svc","zone":"z","state":"ready","born":1,"seq":-1,)"
                       R"("capacity":{"cpu":1}})"),
