Don't let new jobs wait for agents that an earlier leader may have used

Agents of machines that were removed long ago stay silent, so nothing was placed for 5.5 s after a final fault.

Fix: a job whose row is newer than the leader's own row is not assumed to have runs. An earlier leader that can still read the store finds its own end no later than that job.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -199,6 +199,15 @@
     double reservation_threshold = 0;
 };
 
+/// Which leaders may have started units of a job.
+enum class job_origin
+{
+    earlier_leader,
+    /// The job was accepted after this leader's row was written. An earlier leader that still reads
+    /// the store finds that row, and its end, no later than the job.
+    this_leader,
+};
+
 /// Settings of a site's scheduler.
 struct scheduler_settings
 {
@@ -241,7 +250,8 @@
     void set_policies(std::map<queue_id, queue_policy> queues,
                       std::map<core::organisation_id, std::int64_t> guaranteed);
     /// Adds an accepted job with its persisted progress; no effect when the job is present.
-    void add_job(job_spec job, const job_progress& progress, bool cancelled, core::instant now);
+    void add_job(job_spec job, const job_progress& progress, bool cancelled, core::instant now,
+                 job_origin origin = job_origin::earlier_leader);
     /// Stops a job's units and starts no more.
     void cancel_job(const core::job_id& job);
     /// Removes an ended job.
@@ -250,7 +260,7 @@
     void add_agent(const agent_id& agent);
     /// Assumes that every job may be running on every agent that has not reported. Needed after a
     /// takeover from a leader that started units before their agents were persisted. Holds for jobs
-    /// and agents that are added later too.
+    /// and agents that are added later too, but not for jobs that no earlier leader knew.
     void assume_runs_on_unreported_agents();
 
     /// Sets the time from which the leases of agents that do not report are counted, if it is later
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -130,7 +130,7 @@
 }
 
 void site_scheduler::add_job(job_spec spec, const job_progress& progress, bool cancelled,
-                             core::instant now)
+                             core::instant now, job_origin origin)
 {
     const auto [found, inserted] = this->inner->jobs.try_emplace(spec.id);
     if (!inserted)
@@ -142,6 +142,7 @@
     const auto queue = this->inner->queues.find(job.spec.policy.queue);
     job.policy = queue == this->inner->queues.end() ? job.spec.policy : queue->second;
     job.arrived = now;
+    job.origin = origin;
     job.outcome = progress.outcome;
     job.cancelled = cancelled;
     job.persisted_agents = progress.agents;
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -32,7 +32,10 @@
         {
             for (auto& [id, job] : this->jobs)
             {
-                job.unreconciled_agents.insert(agent);
+                if (job.origin == job_origin::earlier_leader)
+                {
+                    job.unreconciled_agents.insert(agent);
+                }
             }
         }
     }
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -32,6 +32,10 @@
 
 void site_scheduler::implementation::assume_runs_of(job_state& job)
 {
+    if (job.origin == job_origin::this_leader)
+    {
+        return;
+    }
     for (const auto& [agent, worker] : this->workers)
     {
         if (!worker.reconciled && !worker.lost)
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -55,6 +55,7 @@
     queue_policy policy;
     std::map<std::int64_t, std::vector<step_state>> occurrences;
     core::instant arrived{};
+    job_origin origin = job_origin::earlier_leader;
     job_outcome outcome = job_outcome::unfinished;
     bool cancelled = false;
     /// Members of `agents` that are persisted.
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -127,7 +127,9 @@
         return;
     }
     this->scheduler.add_job(from_row(*stored), {}, this->cancel_rows.contains(id),
-                            this->context.loop.now());
+                            this->context.loop.now(),
+                            row.version > this->row_version ? batch::job_origin::this_leader
+                                                            : batch::job_origin::earlier_leader);
     events::write("job_known",
                   {{"job", id.str()},
                    {"queue", stored->terms().queue()},
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -318,6 +318,24 @@
     CHECK(scheduler.schedule(instant_at(milliseconds{40}), {}, true).size() == 1);
 }
 
+// An agent whose machine was removed long ago stays silent until its lease timeout.
+TEST_CASE("a job that no earlier leader knew does not wait for silent agents")
+{
+    site_scheduler scheduler(settings_of_epoch(2), instant_at(milliseconds{10'000}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'000}));
+    scheduler.add_agent(agent_id("removed"));
+    scheduler.assume_runs_on_unreported_agents();
+    job_spec fresh = one_unit_job();
+    fresh.id = core::job_id("fresh");
+    scheduler.add_job(fresh, {}, false, instant_at(milliseconds{10'010}), job_origin::this_leader);
+    scheduler.add_agent(agent_id("late"));
+    scheduler.on_report(report_of("a"), instant_at(milliseconds{10'020}));
+    scheduler.on_renewal_sent(agent_id("a"), instant_at(milliseconds{10'020}));
+    const auto commands = scheduler.schedule(instant_at(milliseconds{10'030}), {}, true);
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().unit.job == fresh.id);
+}
+
 TEST_CASE("a start whose agent has been persisted does not wait for the next scheduling pass")
 {
     site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
