Log why a job with a ready unit does not run

No event told why: no room, quarantine, a reservation, agents of an earlier leader, a write, or a start that its agent dropped.

job_waiting names the reason after a second and then at doubling intervals, at most 75 lines a second, those due for longest first, so that the log's limit of 100 drops none. scheduling_held and scheduling_resumed tell of the leader as a whole, start_dropped of an agent. No decision changes.

Tests: batch_takeover_test, "a job that waits for a second is recorded with the reason, and then less often" and "jobs whose lines do not fit into a second are recorded in the next ones".

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -182,6 +182,8 @@
     std::optional<core::milliseconds> waited;
     core::organisation_id organisation;
     queue_id queue;
+    /// Why the job waits, one of few fixed texts; set only for `job_waiting`.
+    std::string_view reason{};
 };
 
 /// Tunable weights of placement and preemption; the two weightings that users can choose differ in
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -139,6 +139,26 @@
     void sum_urgent_demand();
     [[nodiscard]] bool is_guaranteed(const job_state& job) const;
 
+    // Waiting jobs (scheduler_waits.cpp).
+    /// What a job waits for: a group without room, or else a run that does not start or stop.
+    struct wait_cause
+    {
+        const placement_group* group{};
+        const run_state* run{};
+    };
+    /// Records why jobs wait that have had a unit ready for a second.
+    void record_waits(const std::vector<placement_group>& groups, core::instant now,
+                      bool allow_unpersisted_starts);
+    void record_wait(const job_state& job, const wait_cause& cause, core::instant now,
+                     bool allow_unpersisted_starts);
+    [[nodiscard]] std::string_view explain_run(const run_state& run, const job_state& job,
+                                               bool allow_unpersisted_starts) const;
+    [[nodiscard]] std::string_view explain_group(const placement_group& group,
+                                                 core::instant now) const;
+    [[nodiscard]] std::string describe_agents(const job_state& job, core::instant now) const;
+    [[nodiscard]] std::string describe_workers(const placement_group& group,
+                                               core::instant now) const;
+
     [[nodiscard]] const step_spec& spec_of(const placement_group& group) const;
     void record_decision(std::string_view event, const core::job_id& job, std::string detail);
 
@@ -182,6 +202,7 @@
     std::optional<std::pair<std::int64_t, victim_pool>> victims;
     std::size_t pending_units{};
     std::size_t placement_attempts{};
+    core::instant next_wait_check{};
     std::vector<decision_record> records;
 };
 
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -60,6 +60,7 @@
     this->place_groups(groups, now);
     std::vector<agent_command> commands;
     this->issue_commands(commands, now, allow_unpersisted_starts);
+    this->record_waits(groups, now, allow_unpersisted_starts);
     return commands;
 }
 
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -29,7 +29,7 @@
 void site_scheduler::implementation::record_decision(std::string_view event,
                                                      const core::job_id& job, std::string detail)
 {
-    this->records.push_back({event, job, std::move(detail), {}, {}, {}});
+    this->records.push_back({event, job, std::move(detail), {}, {}, {}, {}});
 }
 
 void site_scheduler::implementation::mark_changed(job_state& job)
--- /dev/null
+++ b/src/batch/scheduler_waits.cpp
@@ -0,0 +1,263 @@
+#include "batch/scheduler_impl.hpp"
+
+#include <algorithm>
+
+/// Records why units that are ready to run do not run, for the log.
+namespace chicorylift::batch
+{
+
+namespace
+{
+
+// Waits shorter than this are not recorded.
+constexpr core::milliseconds min_recorded_wait{1000};
+constexpr core::milliseconds wait_check_interval{200};
+// While a job waits, each further line comes after twice the time, up to this.
+constexpr core::milliseconds max_line_interval{16000};
+// Jobs whose line does not fit into a check are next in line at the following one. Together the
+// checks of a second stay below the log's limit for this event.
+constexpr std::size_t max_lines_per_check = 15;
+constexpr std::size_t max_named_agents = 6;
+
+std::string ms_text(core::milliseconds time)
+{
+    return std::to_string(time.count()) + " ms";
+}
+
+class counted_list
+{
+public:
+    void add(std::string_view name)
+    {
+        if (++this->count <= max_named_agents)
+        {
+            this->names += (this->names.empty() ? "" : ",") + std::string(name);
+        }
+    }
+
+    [[nodiscard]] std::string text() const
+    {
+        return std::to_string(this->count) + " (" + this->names +
+               (this->count > max_named_agents ? ",..." : "") + ")";
+    }
+
+private:
+    std::size_t count{};
+    std::string names;
+};
+
+} // namespace
+
+void site_scheduler::implementation::record_waits(const std::vector<placement_group>& groups,
+                                                  core::instant now, bool allow_unpersisted_starts)
+{
+    if (now < this->next_wait_check)
+    {
+        return;
+    }
+    this->next_wait_check = now + wait_check_interval;
+    std::map<job_state*, wait_cause> waiting;
+    for (auto& [id, job] : this->jobs)
+    {
+        if (job.is_active() && !job.unreconciled_agents.empty())
+        {
+            waiting[&job] = {};
+        }
+    }
+    for (const auto& [number, run] : this->runs)
+    {
+        const auto job = this->jobs.find(run.job);
+        const bool unconfirmed = std::any_of(run.members.begin(), run.members.end(),
+                                             [](const run_member_state& member)
+                                             { return !member.ended && !member.confirmed; });
+        if (job != this->jobs.end() && job->second.is_active() && (run.stopping || unconfirmed))
+        {
+            waiting[&job->second].run = &run;
+        }
+    }
+    for (const placement_group& group : groups)
+    {
+        const step_state& step = group.job->occurrences.at(group.occurrence)[to_index(group.step)];
+        wait_cause& cause = waiting[group.job];
+        if (step.units[to_index(group.units.front())].run == 0 && cause.group == nullptr)
+        {
+            cause.group = &group;
+        }
+    }
+    std::vector<std::pair<core::instant, job_state*>> due;
+    for (auto& [id, job] : this->jobs)
+    {
+        const auto found = waiting.find(&job);
+        if (found == waiting.end() ||
+            (found->second.group == nullptr && found->second.run == nullptr &&
+             job.unreconciled_agents.empty()))
+        {
+            job.wait = {};
+            continue;
+        }
+        const job_wait::object waits_for = !job.unreconciled_agents.empty()
+                                               ? job_wait::object::agents
+                                           : found->second.group != nullptr ? job_wait::object::room
+                                                                            : job_wait::object::run;
+        const core::instant first_line = now + min_recorded_wait;
+        if (!job.wait.since.has_value())
+        {
+            job.wait = {now, first_line, waits_for};
+        }
+        else if (waits_for != job.wait.waits_for)
+        {
+            job.wait.next_line = std::min(job.wait.next_line, first_line);
+        }
+        job.wait.waits_for = waits_for;
+        if (job.wait.next_line <= now)
+        {
+            due.emplace_back(job.wait.next_line, &job);
+        }
+    }
+    const std::size_t lines = std::min(due.size(), max_lines_per_check);
+    std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(lines), due.end(),
+                      [](const auto& left, const auto& right) { return left.first < right.first; });
+    due.resize(lines);
+    for (const auto& [since, job] : due)
+    {
+        this->record_wait(*job, waiting.at(job), now, allow_unpersisted_starts);
+        const core::milliseconds waited = now - *job->wait.since;
+        job->wait.next_line = now + std::min(waited, max_line_interval);
+    }
+}
+
+void site_scheduler::implementation::record_wait(const job_state& job, const wait_cause& cause,
+                                                 core::instant now, bool allow_unpersisted_starts)
+{
+    std::string_view reason;
+    std::string detail = "for " + ms_text(now - *job.wait.since) + "; ";
+    if (job.wait.waits_for == job_wait::object::agents)
+    {
+        reason = "unreported runs";
+        detail += "agents that may run its units: " + this->describe_agents(job, now);
+    }
+    else if (job.wait.waits_for == job_wait::object::room)
+    {
+        reason = this->explain_group(*cause.group, now);
+        detail += "step " + std::to_string(cause.group->occurrence) + "." +
+                  std::to_string(cause.group->step) + " units " +
+                  std::to_string(cause.group->units.size()) +
+                  (cause.group->guaranteed ? ", guaranteed" : "") + "; " +
+                  this->describe_workers(*cause.group, now);
+    }
+    else
+    {
+        reason = this->explain_run(*cause.run, job, allow_unpersisted_starts);
+        counted_list agents;
+        for (const run_member_state& member : cause.run->members)
+        {
+            if (!member.ended && (cause.run->stopping || !member.confirmed))
+            {
+                const worker_state& worker = this->workers.at(member.agent);
+                agents.add(member.agent.str() + " reported " +
+                           ms_text(now - worker.last_report_at) + " ago" +
+                           (worker.info.unresponsive ? ", worker silent" : "") +
+                           (worker.info.draining ? ", worker draining" : "") +
+                           (worker.agent_stopping ? ", agent stopping" : ""));
+            }
+        }
+        detail += "run " + std::to_string(cause.run->number) + " placed " +
+                  ms_text(now - cause.run->started_at) + " ago; members " + agents.text();
+    }
+    this->record_decision("job_waiting", job.spec.id, std::move(detail));
+    this->records.back().reason = reason;
+}
+
+std::string_view site_scheduler::implementation::explain_run(const run_state& run,
+                                                             const job_state& job,
+                                                             bool allow_unpersisted_starts) const
+{
+    if (run.stopping)
+    {
+        return "stop not confirmed";
+    }
+    const bool persisted = std::all_of(run.members.begin(), run.members.end(),
+                                       [&job](const run_member_state& member)
+                                       { return job.persisted_agents.contains(member.agent); });
+    return persisted || allow_unpersisted_starts ? "start not confirmed" : "store write";
+}
+
+std::string_view site_scheduler::implementation::explain_group(const placement_group& group,
+                                                               core::instant now) const
+{
+    const step_spec& step = this->spec_of(group);
+    const resources_by_worker available = this->available_resources();
+    std::vector<candidate_worker> candidates = this->candidate_workers(group, available, now);
+    const placement_constraints rules = this->constraints_for(group, now);
+    if (place_units(step, group.units, candidates, rules).has_value())
+    {
+        return "room is reserved for other work";
+    }
+    if (place_units(step, group.units, candidates, {}).has_value())
+    {
+        return "room only outside its rack";
+    }
+    for (const auto& [id, worker] : this->workers)
+    {
+        if (worker.failure_history.quarantined_until > now &&
+            this->may_place_on(worker, *group.job, step, now))
+        {
+            candidates.push_back({id, worker.info.rack, available[worker.index], worker.index, 0,
+                                  /*has_recent_failures=*/true});
+        }
+    }
+    if (place_units(step, group.units, candidates, {}).has_value())
+    {
+        return "room only on distrusted workers";
+    }
+    return candidates.empty() ? "no worker" : "no room";
+}
+
+std::string site_scheduler::implementation::describe_agents(const job_state& job,
+                                                            core::instant now) const
+{
+    counted_list agents;
+    for (const agent_id& agent : job.unreconciled_agents)
+    {
+        const worker_state& worker = this->workers.at(agent);
+        agents.add(agent.str() +
+                   (worker.reported
+                        ? " reported " + ms_text(now - worker.last_report_at) + " ago, renewed " +
+                              ms_text(now - worker.last_renewal_at) + " ago"
+                        : std::string(" never reported")));
+    }
+    return agents.text();
+}
+
+std::string site_scheduler::implementation::describe_workers(const placement_group& group,
+                                                             core::instant now) const
+{
+    const step_spec& step = this->spec_of(group);
+    std::size_t usable = 0;
+    std::size_t distrusted = 0;
+    std::size_t unreconciled = 0;
+    std::size_t lost = 0;
+    std::size_t silent = 0;
+    std::size_t draining = 0;
+    for (const auto& [id, worker] : this->workers)
+    {
+        if (this->may_place_on(worker, *group.job, step, now))
+        {
+            ++(worker.failure_history.quarantined_until > now ? distrusted : usable);
+            continue;
+        }
+        unreconciled += !worker.reconciled && !worker.lost ? 1 : 0;
+        lost += worker.lost ? 1 : 0;
+        silent += worker.info.unresponsive ? 1 : 0;
+        draining += worker.info.draining || worker.agent_stopping ? 1 : 0;
+    }
+    return "workers: usable " + std::to_string(usable) + " of " +
+           std::to_string(this->workers.size()) + ", distrusted " + std::to_string(distrusted) +
+           ", lists not read " + std::to_string(unreconciled) + ", lost " + std::to_string(lost) +
+           ", silent " + std::to_string(silent) + ", leaving " + std::to_string(draining) +
+           "; reservations: backfill " + std::to_string(this->backfill_reservations.size()) +
+           " workers, preemption " + std::to_string(this->preemption_reservations.size()) +
+           " groups";
+}
+
+} // namespace chicorylift::batch
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -47,6 +47,22 @@
     }
 };
 
+/// Time for which a job has had a unit that could run and does not.
+struct job_wait
+{
+    std::optional<core::instant> since;
+    /// When the wait is recorded next.
+    core::instant next_line{};
+    /// What the job waited for at the last check.
+    enum class object
+    {
+        agents,
+        room,
+        run,
+    };
+    object waits_for = object::room;
+};
+
 /// A job and its progress.
 struct job_state
 {
@@ -74,6 +90,7 @@
     /// A checkpoint has changed since the last check for unpersisted checkpoints.
     bool checkpoint_dirty = false;
     std::int64_t active_runs{};
+    job_wait wait;
 
     [[nodiscard]] bool is_active() const noexcept
     {
--- a/src/ctl/trace.cpp
+++ b/src/ctl/trace.cpp
@@ -14,10 +14,11 @@
 
 /// Events about the state of the store, leads, workers and processes. They are printed as context
 /// between the lines of a job.
-constexpr std::array<std::string_view, 14> context_events{
-    "store_lost",  "store_regained",   "config_stale",      "config_fresh", "lead_suspected",
-    "lead_taken",  "lead_lost",        "worker_silent",     "worker_back",  "worker_lost",
-    "worker_left", "worker_restarted", "worker_distrusted", "stopping"};
+constexpr std::array<std::string_view, 16> context_events{
+    "store_lost",        "store_regained",  "config_stale",       "config_fresh",
+    "lead_suspected",    "lead_taken",      "lead_lost",          "worker_silent",
+    "worker_back",       "worker_lost",     "worker_left",        "worker_restarted",
+    "worker_distrusted", "scheduling_held", "scheduling_resumed", "stopping"};
 
 /// @return the string value of a member of a one-line JSON object, with its escapes left as they
 /// are.
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -71,6 +71,8 @@
     [[nodiscard]] message_load take_message_load();
     void on_orders(const std::string& from, const wire::batch_orders& orders);
     void follow(std::uint64_t epoch, const std::string& address, const std::string& name);
+    /// @return why starts are not passed on to the worker now; empty if they are.
+    [[nodiscard]] std::string_view start_obstacle(core::instant now) const;
     void on_probe(const std::string& from, const wire::batch_probe& probe);
     void on_send_failed(const std::string& address);
     void report_soon();
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -196,11 +196,15 @@
         const auto unit = batch::parse_unit_key(start.unit());
         // Without a lease, or with run lists of an earlier epoch, the start command is dropped; the
         // leader sends it again.
-        const bool may_start = unit.ok() && this->snapshot_valid && !this->worker_info.draining &&
-                               !this->worker_info.unresponsive && !this->leaving &&
-                               this->lease.expires_at() > now + min_start_lease;
-        if (!may_start)
+        const std::string_view obstacle = unit.ok() ? this->start_obstacle(now) : "unit name";
+        if (!obstacle.empty())
         {
+            events::write("start_dropped",
+                          {{"unit", start.unit()},
+                           {"run", start.run()},
+                           {"reason", obstacle},
+                           {"epoch", this->epoch},
+                           {"lease_left_ms", (this->lease.expires_at() - now).count()}});
             continue;
         }
         batch::worker_command requested;
@@ -229,6 +233,27 @@
     }
 }
 
+std::string_view agent::start_obstacle(core::instant now) const
+{
+    if (!this->snapshot_valid)
+    {
+        return "lists not read in this epoch";
+    }
+    if (this->worker_info.unresponsive)
+    {
+        return "worker silent";
+    }
+    if (this->worker_info.draining)
+    {
+        return "worker draining";
+    }
+    if (this->leaving)
+    {
+        return "agent stopping";
+    }
+    return this->lease.expires_at() > now + min_start_lease ? "" : "lease too short";
+}
+
 void agent::on_probe(const std::string& from, const wire::batch_probe& probe)
 {
     const core::instant now = core::boot_clock::now();
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -386,6 +386,16 @@
 {
     for (const batch::decision_record& record : this->scheduler.take_records())
     {
+        if (!record.reason.empty())
+        {
+            events::write(record.event, {{"job", record.job.str()},
+                                         {"reason", record.reason},
+                                         {"detail", record.detail},
+                                         {"epoch", this->my_epoch},
+                                         {"config_version", this->config->version}});
+            this->context.metrics.increment("jobs_waiting", record.reason);
+            continue;
+        }
         events::write(record.event, {{"job", record.job.str()},
                                      {"detail", record.detail},
                                      {"epoch", this->my_epoch},
@@ -473,6 +483,7 @@
         // Sent to all agents at once, so that none campaigns because of a missing heartbeat.
         this->send_to_all_agents();
     }
+    this->log_scheduling_hold();
     this->call_silent_agents();
     if (!this->leadership_verified && now - this->resumed_at > verification_timeout &&
         this->has_quorum(now))
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace chicorylift::site
 {
@@ -134,6 +135,10 @@
     void log_records();
     /// Logs what the leader's time went to and what waits for it, once a second.
     void log_load();
+    /// Logs when this leader begins or ceases to hold all scheduling, and why.
+    void log_scheduling_hold();
+    /// @return why this leader may not schedule now; empty if it may.
+    [[nodiscard]] std::string_view scheduling_hold_reason() const;
     void step_down(const std::string& reason);
     [[nodiscard]] bool may_issue_orders() const;
     /// @return whether this leader may start and stop runs now.
@@ -174,6 +179,9 @@
     core::instant tick_due{};
     core::instant write_sent_at{};
     leader_work work;
+    /// Reason that was logged last; empty while this leader schedules.
+    std::string_view hold_reason;
+    core::instant held_since{};
     net::transport_counters logged_totals;
     bool trim_in_flight = false;
     /// Time at which this leader first found each job removable.
--- a/src/site/leader_load.cpp
+++ b/src/site/leader_load.cpp
@@ -64,4 +64,58 @@
     this->logged_totals = totals;
 }
 
+std::string_view leader::scheduling_hold_reason() const
+{
+    const core::instant now = core::boot_clock::now();
+    if (!this->loaded)
+    {
+        return !this->config.has_value()         ? "configuration not read"
+               : !this->member_rows->is_loaded() ? "members not read"
+                                                 : "jobs not read";
+    }
+    if (!this->leadership_verified)
+    {
+        return "leadership not verified after a pause";
+    }
+    if (!this->may_issue_orders())
+    {
+        return "no store and no quorum";
+    }
+    return this->guard.may_place(now) ? "" : "too few agents have reported";
+}
+
+void leader::log_scheduling_hold()
+{
+    const std::string_view reason = this->scheduling_hold_reason();
+    if (reason == this->hold_reason)
+    {
+        return;
+    }
+    const core::instant now = core::boot_clock::now();
+    if (reason.empty())
+    {
+        events::write("scheduling_resumed", {{"epoch", this->my_epoch},
+                                             {"reason", this->hold_reason},
+                                             {"held_ms", (now - this->held_since).count()}});
+    }
+    else
+    {
+        std::uint64_t heard = 0;
+        for (const auto& [name, state] : this->agents)
+        {
+            heard += now - state.last_heard < batch::pacing_for(this->agents.size()).interval * 2;
+        }
+        events::write("scheduling_held",
+                      {{"epoch", this->my_epoch},
+                       {"reason", reason},
+                       {"agents", static_cast<std::uint64_t>(this->agents.size())},
+                       {"heard", heard}});
+    }
+    if (this->hold_reason.empty())
+    {
+        this->held_since = now;
+    }
+    this->hold_reason = reason;
+}
+
 } // namespace chicorylift::site
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -353,6 +353,91 @@
     CHECK(scheduler.due_commands(instant_at(milliseconds{10'050}), false).empty());
 }
 
+/// @return the reason of each `job_waiting` record of the last passes.
+std::vector<std::string> wait_reasons(site_scheduler& scheduler)
+{
+    std::vector<std::string> reasons;
+    for (const decision_record& record : scheduler.take_records())
+    {
+        if (record.event == "job_waiting")
+        {
+            reasons.emplace_back(record.reason);
+        }
+    }
+    return reasons;
+}
+
+// Guards against waits that no event explains.
+TEST_CASE("a job that waits for a second is recorded with the reason, and then less often")
+{
+    site_scheduler scheduler(settings_of_epoch(2), instant_at(milliseconds{10'000}));
+    job_progress progress;
+    progress.agents = {agent_id("away")};
+    scheduler.add_job(one_unit_job(), progress, false, instant_at(milliseconds{10'000}));
+    const auto play = [&](std::int64_t from, std::int64_t to, bool persist)
+    {
+        std::vector<std::string> reasons;
+        for (std::int64_t time = from; time < to; time += 100)
+        {
+            const core::instant now = instant_at(milliseconds{time});
+            for (const char* const agent : {"a", "away"})
+            {
+                worker_report report = report_of(agent);
+                report.lists_valid = report.agent == agent_id("a");
+                scheduler.on_report(report, now);
+                scheduler.on_renewal_sent(report.agent, now);
+            }
+            static_cast<void>(scheduler.schedule(now, {}, false));
+            if (persist)
+            {
+                scheduler.on_persisted(core::job_id("j"),
+                                       scheduler.unpersisted_version(core::job_id("j")));
+            }
+            const std::vector<std::string> found = wait_reasons(scheduler);
+            reasons.insert(reasons.end(), found.begin(), found.end());
+        }
+        return reasons;
+    };
+    CHECK(play(10'010, 10'900, false).empty());
+    // Lines after 1 s, 2 s and 4 s.
+    CHECK(play(10'910, 15'000, false) == std::vector<std::string>(3, "unreported runs"));
+    scheduler.on_report(report_of("away"), instant_at(milliseconds{15'010}));
+    CHECK(play(15'020, 19'000, false) == std::vector<std::string>{"store write"});
+    // Placed and written, but no agent confirms the start.
+    CHECK(play(19'010, 27'000, true) == std::vector<std::string>{"start not confirmed"});
+}
+
+TEST_CASE("jobs whose lines do not fit into a second are recorded in the next ones")
+{
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    constexpr int jobs = 400;
+    for (int number = 0; number < jobs; ++number)
+    {
+        job_spec job = one_unit_job();
+        job.id = core::job_id("j" + std::to_string(number));
+        scheduler.add_job(job, {}, false, instant_at(milliseconds{10'000}));
+    }
+    std::set<core::job_id> recorded;
+    constexpr int most_in_a_second = 100;
+    for (std::int64_t second = 10'000; second < 22'000; second += 1000)
+    {
+        int lines = 0;
+        for (std::int64_t time = second; time < second + 1000; time += 50)
+        {
+            static_cast<void>(scheduler.schedule(instant_at(milliseconds{time}), {}, false));
+            for (const decision_record& record : scheduler.take_records())
+            {
+                CHECK(record.event == "job_waiting");
+                CHECK(record.reason == "no worker");
+                recorded.insert(record.job);
+                ++lines;
+            }
+        }
+        CHECK(lines < most_in_a_second);
+    }
+    CHECK(recorded.size() == jobs);
+}
+
 // Guards against writes that the store refuses: a job's progress row holds 64 KB.
 TEST_CASE("failed runs of a long-running unit do not add to its job's progress")
 {
