Start a guaranteed gang across racks when no rack gets room for it

What callers saw: LOST, jobs stood still for 3 s and more while there was room for them twice over; others of the organisation and queue stood with them and some went on later. The queue's jobs are urgent gangs, most of them bound to a rack.

Cause: a guaranteed gang that prefers one rack looks for room in one rack without limit. If preemption cannot free a rack either, because other urgent work holds a part of each, the plan drops the rack, finds room without a stop and reserves it. The next pass releases the reservation, looks for one rack again, fails, and makes the same plan. The gang waits until a rack is free by itself, and the room that it reserves each time is withheld from all others. The class: a plan made under other rules than its execution.

The reservation now says that its plan disregards racks, and a group that has such a reservation and finds no room in a rack is placed without that rule.

That this is what the users' record shows is not known; the record lacks the leader's lines.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -24,6 +24,16 @@
     {
     }
 
+    /// Resources that preemption frees for a group, reserved until the group starts.
+    struct preemption_reservation
+    {
+        /// By worker_state::index.
+        std::vector<std::pair<std::size_t, resource_amount>> resources;
+        bool guaranteed = false;
+        /// The resources lie outside the racks that the group prefers.
+        bool any_rack = false;
+    };
+
     // Agents' reports (scheduler_reports.cpp).
     void on_report(const worker_report& report, core::instant now);
     void update_worker_info(worker_state& worker, const worker_report& report, core::instant now);
@@ -76,7 +86,7 @@
     /// Places the group and begins its run, if all its units fit.
     /// @return whether the group was placed.
     bool place_group(const placement_group& group, resources_by_worker& available,
-                     core::instant now);
+                     placement_constraints rules, core::instant now);
     /// Places groups of one unit of the same step, in their order, until one does not fit.
     /// @return the number of groups placed.
     std::size_t place_units_of_step(std::span<const placement_group> groups,
@@ -95,9 +105,9 @@
     void deduct_preemption_reservations(const std::vector<placement_group>& groups,
                                         resources_by_worker& available);
     /// Drops a group's preemption reservation and returns its resources to @p available.
-    /// @return whether the group had one.
-    bool release_preemption_reservation(const placement_group& group,
-                                        resources_by_worker& available);
+    /// @return the reservation, if the group had one.
+    std::optional<preemption_reservation>
+    release_preemption_reservation(const placement_group& group, resources_by_worker& available);
     /// Drops the preemption reservations of groups that are not guaranteed and returns their
     /// resources to @p available.
     void release_unguaranteed_reservations(resources_by_worker& available);
@@ -190,13 +200,6 @@
     };
     /// By worker_state::index.
     std::map<std::size_t, backfill_reservation> backfill_reservations;
-    /// Resources that preemption frees for a group, reserved until the group starts.
-    struct preemption_reservation
-    {
-        /// By worker_state::index.
-        std::vector<std::pair<std::size_t, resource_amount>> resources;
-        bool guaranteed = false;
-    };
     std::map<unit_key, preemption_reservation> preemption_reservations;
     /// Result of preemption_candidates() in this pass, with its priority.
     std::optional<std::pair<std::int64_t, victim_pool>> victims;
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -195,9 +195,16 @@
             }
         }
         const placement_group& group = rest.front();
-        const bool had_reservation = this->release_preemption_reservation(group, available);
-        if ((step == full_step && !had_reservation) ||
-            (alike <= 1 && this->place_group(group, available, now)))
+        const auto reservation = this->release_preemption_reservation(group, available);
+        if ((step == full_step && !reservation.has_value()) ||
+            (alike <= 1 &&
+             this->place_group(group, available, this->constraints_for(group, now), now)))
+        {
+            continue;
+        }
+        // The group's own rack has no room, and the plan for this room has no use for a rack.
+        if (reservation.has_value() && reservation->any_rack &&
+            this->place_group(group, available, {}, now))
         {
             continue;
         }
@@ -368,13 +375,13 @@
 }
 
 bool site_scheduler::implementation::place_group(const placement_group& group,
-                                                 resources_by_worker& available, core::instant now)
+                                                 resources_by_worker& available,
+                                                 placement_constraints rules, core::instant now)
 {
     ++this->placement_attempts;
     std::vector<candidate_worker> candidates = this->candidate_workers(group, available, now);
     this->apply_reservations(group, candidates, now);
-    const auto placed = place_units(this->spec_of(group), group.units, candidates,
-                                    this->constraints_for(group, now));
+    const auto placed = place_units(this->spec_of(group), group.units, candidates, rules);
     if (!placed.has_value())
     {
         return false;
--- a/src/batch/scheduler_preemption.cpp
+++ b/src/batch/scheduler_preemption.cpp
@@ -37,20 +37,22 @@
     }
 }
 
-bool site_scheduler::implementation::release_preemption_reservation(const placement_group& group,
-                                                                    resources_by_worker& available)
+std::optional<site_scheduler::implementation::preemption_reservation>
+site_scheduler::implementation::release_preemption_reservation(const placement_group& group,
+                                                               resources_by_worker& available)
 {
     const auto found = this->preemption_reservations.find(reservation_key(group));
     if (found == this->preemption_reservations.end())
     {
-        return false;
+        return std::nullopt;
     }
-    for (const auto& [worker, amount] : found->second.resources)
+    const preemption_reservation released = std::move(found->second);
+    this->preemption_reservations.erase(found);
+    for (const auto& [worker, amount] : released.resources)
     {
         available[worker] += amount;
     }
-    this->preemption_reservations.erase(found);
-    return true;
+    return released;
 }
 
 void site_scheduler::implementation::release_unguaranteed_reservations(
@@ -164,9 +166,9 @@
         this->release_unguaranteed_reservations(available);
         plan = plan_with(this->constraints_for(group, now));
     }
-    if (!plan.has_value() && group.guaranteed)
+    const bool any_rack = !plan.has_value() && group.guaranteed;
+    if (any_rack)
     {
-        // Drops the locality constraints.
         plan = plan_with({});
     }
     if (!plan.has_value())
@@ -194,6 +196,7 @@
     const resource_amount request = step.resource_request();
     preemption_reservation& reservation = this->preemption_reservations[reservation_key(group)];
     reservation.guaranteed = group.guaranteed;
+    reservation.any_rack = any_rack;
     for (const unit_placement& placement : plan->placements)
     {
         available[placement.worker] -= request;
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -173,6 +173,35 @@
     }
 }
 
+// Guards against LOST: a guaranteed gang waited for one rack while work that must not be preempted
+// held a part of each.
+TEST_CASE("a guaranteed gang starts across racks when no rack has room for it")
+{
+    testing::site_shape two_racks;
+    two_racks.racks = 2;
+    two_racks.workers_a_rack = 2;
+    virtual_site site(9, two_racks);
+    site.set_terms({}, {{core::organisation_id("owner"), 16}});
+    for (int rack = 0; rack < two_racks.racks; ++rack)
+    {
+        batch::step_spec step = step_of(1, 8, seconds{30});
+        step.data_rack = "rack" + std::to_string(rack);
+        site.submit(milliseconds{1500},
+                    one_step_job("urgent" + std::to_string(rack), "x", queue_with(0), step),
+                    {{seconds{30}}});
+    }
+    batch::step_spec gang = step_of(2, 8, milliseconds{2000});
+    gang.gang = true;
+    gang.rack_local = true;
+    site.submit(milliseconds{4000}, one_step_job("gang", "owner", queue_with(0), gang),
+                {{milliseconds{2000}}});
+    site.play(seconds{20});
+    const auto& result = site.results().at(core::job_id("gang"));
+    REQUIRE(result.all_started.has_value());
+    CHECK(*result.all_started - result.accepted <= milliseconds{2900});
+    CHECK(site.violations().empty());
+}
+
 TEST_CASE("preemption for guaranteed work stops no more runs than needed")
 {
     virtual_site site(7);
