Don't count reports of an earlier epoch as following a new leader

What callers may see: TWICE, a unit that an earlier leader started unwritten is started again.

Cause: an agent sends its reports to the address that it knows as the leader's. A process that leads, is replaced and leads again gets reports that are meant for its first epoch. The leader counted them as reports of agents that follow it: they made the majority after which it places, leases were counted from there, a confirmation of the first epoch's announcement of unwritten starts counted for the new one, and they counted towards its quorum while the store is away. Their senders may still follow the leader in between and confirm its announcement.

Reports now say whether the agent follows this epoch; the others are answered, so that their senders do, and count for nothing else.

--- a/include/chicorylift/batch/takeover_guard.hpp
+++ b/include/chicorylift/batch/takeover_guard.hpp
@@ -18,6 +18,9 @@
     /// The agent's process has followed a leader that had accounted for its predecessors. A process
     /// that has not may have restarted and forgotten an announcement.
     bool informed = false;
+    /// The agent follows this leader. One that still follows an earlier epoch may yet confirm an
+    /// announcement of a leader in between.
+    bool follows = true;
 };
 
 /// Prevents a new leader from starting units again that an earlier leader started without a
--- a/src/batch/takeover_guard.cpp
+++ b/src/batch/takeover_guard.cpp
@@ -19,6 +19,10 @@
                                core::instant now)
 {
     known_agent& known = this->agents[agent];
+    if (!report.follows)
+    {
+        return;
+    }
     known.reported = true;
     known.confirmed = report.confirmed;
     known.informed = report.informed;
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -148,8 +148,10 @@
     this->detect_process_pause();
     const core::instant now = core::boot_clock::now();
     agent_state& state = this->agents[report.agent()];
-    const core::instant orders_sent_at = core::instant_at(
-        core::milliseconds{report.epoch() == this->my_epoch ? report.lead_clock_ms() : 0});
+    // An agent may take this process for the leader of an earlier epoch that it was.
+    const bool follows = report.epoch() == this->my_epoch;
+    const core::instant orders_sent_at =
+        core::instant_at(core::milliseconds{follows ? report.lead_clock_ms() : 0});
     if (!state.reports.accept(message.incarnation(), report.sequence(), orders_sent_at, now))
     {
         events::write("report_late", {{"agent", report.agent()},
@@ -162,7 +164,7 @@
         state.address = message.from();
         ++this->members_version;
     }
-    if (this->leadership_verified || now - this->resumed_at > stale_report_window)
+    if (follows && (this->leadership_verified || now - this->resumed_at > stale_report_window))
     {
         state.last_heard = now;
     }
@@ -177,9 +179,10 @@
     this->guard.on_report(batch::agent_id(report.agent()),
                           {.confirmed = report.unwritten_starts(),
                            .earlier_unpersisted = report.earlier_unwritten_starts(),
-                           .informed = report.knows_earlier_leads()},
+                           .informed = report.knows_earlier_leads(),
+                           .follows = follows},
                           now);
-    if (report.epoch() == this->my_epoch && report.lead_clock_ms() > 0)
+    if (follows && report.lead_clock_ms() > 0)
     {
         this->confirmation.on_report(batch::agent_id(report.agent()), orders_sent_at);
     }
@@ -190,7 +193,7 @@
     if (this->loaded)
     {
         batch::worker_report parsed = from_message(report);
-        parsed.lists_valid = parsed.lists_valid && report.epoch() == this->my_epoch;
+        parsed.lists_valid = parsed.lists_valid && follows;
         this->scheduler.on_report(parsed, now);
         this->schedule_pass();
     }
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -630,6 +630,33 @@
     CHECK(!one_restarted.predecessor_may_have_unpersisted_runs());
 }
 
+// Guards against TWICE: a process that leads again gets reports meant for its earlier epoch, while
+// their senders may still follow the leader in between.
+TEST_CASE("agents that follow an earlier epoch do not count as following a new leader")
+{
+    takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5500});
+    for (const char* const name : {"a", "b", "c"})
+    {
+        guard.add_agent(agent_id(name));
+        guard.on_report(
+            agent_id(name),
+            {.confirmed = true, .earlier_unpersisted = false, .informed = true, .follows = false},
+            instant_at(milliseconds{50}));
+    }
+    guard.announce_unpersisted_starts(true);
+    CHECK(!guard.may_place(instant_at(milliseconds{100})));
+    CHECK(!guard.may_start_unpersisted());
+    for (const char* const name : {"b", "c"})
+    {
+        guard.on_report(agent_id(name),
+                        {.confirmed = false, .earlier_unpersisted = true, .informed = true},
+                        instant_at(milliseconds{110}));
+    }
+    CHECK(guard.may_place(instant_at(milliseconds{120})));
+    CHECK(guard.predecessor_may_have_unpersisted_runs());
+    CHECK(guard.followed_since() == instant_at(milliseconds{110}));
+}
+
 TEST_CASE("unpersisted starts wait until most agents have confirmed the announcement")
 {
     takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5500});
