Start preempting work in the room it has freed, whatever is reserved

What callers saw: an urgent job stopped other work, but did not start in the room; the room stood empty until the job that had reserved it missed its objective. By the rule LOST both jobs stood still on a calm site.

Cause: preempt_for() planned without regard to backfill reservations, and place_group() honoured them. An urgent group behind a larger one of its priority got a plan, held the freed room by a preemption reservation, was refused that room because of the larger group's backfill reservation, and made the next plan, now without stops. The larger group did not fit because of the preemption reservation. reserve_for() counted room as free that was promised to others.

A group that room was promised to is now exempt from backfill reservations until it starts. The first plan honours them, as the start does, and reserve_for() no longer counts promised room.

Now it starts as soon as the stop has ended.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -113,9 +113,10 @@
     void release_unguaranteed_reservations(resources_by_worker& available);
     /// Creates backfill reservations for a group that cannot be placed yet, on the workers that are
     /// expected to have room for it first.
-    void reserve_for(const placement_group& group, core::instant now);
+    void reserve_for(const placement_group& group, const resources_by_worker& available,
+                     core::instant now);
     /// Reduces the free resources in @p candidates by other jobs' backfill reservations, unless the
-    /// group is guaranteed or expected to end before the reservation starts.
+    /// group is guaranteed, was promised room, or is expected to end before the reservation starts.
     void apply_reservations(const placement_group& group, std::vector<candidate_worker>& candidates,
                             core::instant now) const;
     /// @return when the run is expected to end, by its estimate and progress; `now` when it is
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -194,8 +194,9 @@
                 continue;
             }
         }
-        const placement_group& group = rest.front();
+        placement_group& group = groups[next];
         const auto reservation = this->release_preemption_reservation(group, available);
+        group.room_promised = reservation.has_value();
         if ((step == full_step && !reservation.has_value()) ||
             (alike <= 1 &&
              this->place_group(group, available, this->constraints_for(group, now), now)))
@@ -215,7 +216,7 @@
         full_step = step;
         if (group.reservation_due && this->backfill_reservations.empty())
         {
-            this->reserve_for(group, now);
+            this->reserve_for(group, available, now);
         }
     }
 }
@@ -282,7 +283,9 @@
     return step.long_running ? core::instant::max() : now + remaining;
 }
 
-void site_scheduler::implementation::reserve_for(const placement_group& group, core::instant now)
+void site_scheduler::implementation::reserve_for(const placement_group& group,
+                                                 const resources_by_worker& available,
+                                                 core::instant now)
 {
     const step_spec& step = this->spec_of(group);
     std::vector<std::pair<core::instant, const run_state*>> ends;
@@ -293,7 +296,6 @@
     }
     std::sort(ends.begin(), ends.end());
     const placement_constraints rules = this->constraints_for(group, now);
-    const resources_by_worker available = this->available_resources();
     std::vector<candidate_worker> candidates = this->candidate_workers(group, available, now);
     const auto free_after = [&](std::size_t count)
     {
@@ -356,13 +358,16 @@
                                                         std::vector<candidate_worker>& candidates,
                                                         core::instant now) const
 {
+    if (group.guaranteed || group.room_promised)
+    {
+        return;
+    }
     const core::instant end = now + this->spec_of(group).estimate;
     for (candidate_worker& candidate : candidates)
     {
         const auto reservation = this->backfill_reservations.find(candidate.index);
         if (reservation == this->backfill_reservations.end() ||
-            reservation->second.job == group.job->spec.id || group.guaranteed ||
-            end <= reservation->second.until)
+            reservation->second.job == group.job->spec.id || end <= reservation->second.until)
         {
             continue;
         }
--- a/src/batch/scheduler_preemption.cpp
+++ b/src/batch/scheduler_preemption.cpp
@@ -155,10 +155,11 @@
     const victim_pool& candidates = this->preemption_candidates(group.job->policy.priority, now);
     const auto plan_with = [&](placement_constraints rules)
     {
-        return plan_preemption(
-            step, group.units,
-            this->candidate_workers(group, this->available_after_stops(available), now), candidates,
-            rules, max_cost);
+        std::vector<candidate_worker> workers =
+            this->candidate_workers(group, this->available_after_stops(available), now);
+        // The group starts under the same rules as its plan.
+        this->apply_reservations(group, workers, now);
+        return plan_preemption(step, group.units, workers, candidates, rules, max_cost);
     };
     auto plan = plan_with(this->constraints_for(group, now));
     if (!plan.has_value() && group.guaranteed)
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -212,6 +212,9 @@
     /// The job has waited long enough to get a backfill reservation; see
     /// `placement_weights::reservation_threshold`.
     bool reservation_due = false;
+    /// Work was stopped to make room for the group. Other groups' backfill reservations do not
+    /// apply to it until it starts.
+    bool room_promised = false;
 };
 
 /// One amount per worker, by worker_state::index.
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -202,6 +202,44 @@
     CHECK(site.violations().empty());
 }
 
+// Guards against LOST: urgent work did not start in the room that it had preempted, because another
+// group had reserved it.
+TEST_CASE("room freed by preemption is not withheld by a reservation of a larger group")
+{
+    testing::site_shape two_racks;
+    two_racks.racks = 2;
+    two_racks.workers_a_rack = 2;
+    virtual_site site(21, two_racks);
+    // Two runs of ten seconds' work fill a rack; a run elsewhere takes longer than declared.
+    for (const milliseconds length : {seconds{12}, seconds{14}})
+    {
+        batch::step_spec step = step_of(1, 8, length);
+        step.required_label = "rack0";
+        site.submit(milliseconds{1500},
+                    one_step_job("fill" + std::to_string(length.count()), "x", queue_with(2), step),
+                    {{length}});
+    }
+    batch::step_spec late = step_of(1, 8, seconds{2});
+    late.required_label = "rack1";
+    site.submit(milliseconds{1500}, one_step_job("late", "x", queue_with(2), late),
+                {{seconds{40}}});
+    batch::queue_policy urgent = queue_with(0);
+    urgent.latency_allowance = seconds{60};
+    batch::step_spec wide = step_of(2, 8, seconds{2});
+    wide.gang = true;
+    wide.required_label = "rack0";
+    site.submit(seconds{10}, one_step_job("wide", "x", urgent, wide), {{seconds{2}}});
+    batch::step_spec single = step_of(1, 8, seconds{15});
+    single.required_label = "rack0";
+    site.submit(milliseconds{10500}, one_step_job("single", "y", urgent, single), {{seconds{15}}});
+    site.play(seconds{30});
+    CHECK(site.decisions("work_reclaimed") == 1);
+    const auto& result = site.results().at(core::job_id("single"));
+    REQUIRE(result.all_started.has_value());
+    CHECK(*result.all_started - result.accepted < two_racks.stop_time + milliseconds{100});
+    CHECK(site.violations().empty());
+}
+
 TEST_CASE("preemption for guaranteed work stops no more runs than needed")
 {
     virtual_site site(7);
