Let a wide gang's reservation hold back others only while a service is busy

What callers saw: jobs that needed one accelerator stood still beside dozens of free ones (LOST).

Cause: a group that finds no room reserves the workers that will have room for it first. A gang that needs every worker, each of which runs something small, reserves all of them until the last of these runs ends, and no job that takes longer may start, however empty the service is. The expected end moves on with runs that take longer than declared. Nothing bounded the wait but the gang's objective.

A group that has waited for 1.5 s on a service of which less than half is in use (in cores, an accelerator counts as 8) is now placed without regard to backfill reservations. On a busy service nothing changes. The gang waits longer where small jobs keep coming; it needs room that is not there.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -116,7 +116,8 @@
     void reserve_for(const placement_group& group, const resources_by_worker& available,
                      core::instant now);
     /// Reduces the free resources in @p candidates by other jobs' backfill reservations, unless the
-    /// group is guaranteed, was promised room, or is expected to end before the reservation starts.
+    /// group is guaranteed, was promised room, is expected to end before the reservation starts, or
+    /// waits on a service with spare capacity.
     void apply_reservations(const placement_group& group, std::vector<candidate_worker>& candidates,
                             core::instant now) const;
     /// @return when the run is expected to end, by its estimate and progress; `now` when it is
@@ -143,6 +144,11 @@
     [[nodiscard]] resources_by_worker available_resources() const;
     [[nodiscard]] bool may_place_on(const worker_state& worker, const job_state& job,
                                     const step_spec& step, core::instant now) const;
+    /// Finds the services of which less than half of the capacity is in use; once per pass.
+    void find_services_with_spare(const resources_by_worker& available);
+    /// @return whether the group has waited so long on a service with spare capacity that whatever
+    ///         room there is may be used.
+    [[nodiscard]] bool waits_beside_spare(const placement_group& group, core::instant now) const;
     [[nodiscard]] placement_constraints constraints_for(const placement_group& group,
                                                         core::instant now) const;
     [[nodiscard]] bool fits_one_rack(const placement_group& group) const;
@@ -201,6 +207,7 @@
     };
     /// By worker_state::index.
     std::map<std::size_t, backfill_reservation> backfill_reservations;
+    std::set<core::service_id> services_with_spare;
     std::map<unit_key, preemption_reservation> preemption_reservations;
     /// Result of preemption_candidates() in this pass, with its priority.
     std::optional<std::pair<std::int64_t, victim_pool>> victims;
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -18,6 +18,17 @@
 // Lower bound of the remaining time computed from a run's estimate. A run that has exceeded its
 // estimate is expected to end after this time.
 constexpr core::milliseconds min_remaining_time{500};
+// On a service with spare capacity, a group waits no longer than this for better room than there
+// is. With the start it must stay below the 3 s for which a job may stand still.
+constexpr core::milliseconds max_wait_beside_spare{1500};
+
+/// @return resources as cores, accelerators included.
+double core_equivalents(const resource_amount& amount)
+{
+    step_spec step;
+    step.per_unit = amount;
+    return work_rate(step);
+}
 
 } // namespace
 
@@ -148,6 +159,36 @@
                        [&step](const auto& rack) { return rack.second >= step.units; });
 }
 
+void site_scheduler::implementation::find_services_with_spare(const resources_by_worker& available)
+{
+    std::map<core::service_id, std::pair<double, double>> free_and_capacity;
+    for (const auto& [id, worker] : this->workers)
+    {
+        if (!worker.lost && worker.info.announced && !worker.info.draining &&
+            !worker.info.unresponsive)
+        {
+            auto& [free, capacity] = free_and_capacity[worker.info.service];
+            free += core_equivalents(available[worker.index]);
+            capacity += core_equivalents(worker.info.capacity);
+        }
+    }
+    this->services_with_spare.clear();
+    for (const auto& [service, amounts] : free_and_capacity)
+    {
+        if (2 * amounts.first > amounts.second)
+        {
+            this->services_with_spare.insert(service);
+        }
+    }
+}
+
+bool site_scheduler::implementation::waits_beside_spare(const placement_group& group,
+                                                        core::instant now) const
+{
+    return now - group.waiting_since >= max_wait_beside_spare &&
+           this->services_with_spare.contains(group.job->policy.service);
+}
+
 placement_constraints site_scheduler::implementation::constraints_for(const placement_group& group,
                                                                       core::instant now) const
 {
@@ -176,6 +217,7 @@
     this->backfill_reservations.clear();
     this->victims.reset();
     this->placement_attempts = 0;
+    this->find_services_with_spare(available);
     this->deduct_preemption_reservations(groups, available);
     const void* full_step = nullptr;
     for (std::size_t next = 0; next < groups.size(); ++next)
@@ -358,7 +400,7 @@
                                                         std::vector<candidate_worker>& candidates,
                                                         core::instant now) const
 {
-    if (group.guaranteed || group.room_promised)
+    if (group.guaranteed || group.room_promised || this->waits_beside_spare(group, now))
     {
         return;
     }
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -240,6 +240,31 @@
     CHECK(site.violations().empty());
 }
 
+// Guards against LOST: a gang that needed every worker kept a nearly idle site from other jobs.
+TEST_CASE("a reservation of a wide gang does not keep other jobs from a site with few runs")
+{
+    testing::site_shape four_workers;
+    four_workers.racks = 1;
+    four_workers.workers_a_rack = 4;
+    virtual_site site(22, four_workers);
+    batch::step_spec small = step_of(4, 1, seconds{2});
+    small.max_per_worker = 1;
+    site.submit(milliseconds{1500}, one_step_job("small", "x", queue_with(1), small),
+                {{seconds{40}}});
+    batch::queue_policy patient = queue_with(1);
+    patient.latency_allowance = seconds{60};
+    batch::step_spec wide = step_of(4, 8, seconds{2});
+    wide.gang = true;
+    site.submit(milliseconds{4000}, one_step_job("wide", "x", patient, wide), {{seconds{2}}});
+    site.submit(milliseconds{6000}, one_step_job("other", "y", patient, step_of(1, 1, seconds{10})),
+                {{seconds{10}}});
+    site.play(seconds{30});
+    const auto& result = site.results().at(core::job_id("other"));
+    REQUIRE(result.all_started.has_value());
+    CHECK(*result.all_started - result.accepted < seconds{3});
+    CHECK(site.violations().empty());
+}
+
 TEST_CASE("preemption for guaranteed work stops no more runs than needed")
 {
     virtual_site site(7);
