Report a worker that an agent's process has never heard as unresponsive

Callers saw jobs stand without end, several at a time, on a site that otherwise worked.

An agent counted its worker as silent only after it had heard it once. An agent that restarted while its worker was down or cut off thus reported a worker that answers. The leader took each answer to such a report for a renewal of the worker's lease, so the lease never ended: the runs on the worker counted as running, and after a change of leader all jobs that had run there waited for its lists.

Evidence, by the three tests that this commit adds, with real agents.

An agent's process now holds its worker for unresponsive until it has heard it. That is also what it may grant: without the worker's clock it renews nothing, so the leader may not count on it, from its first report on. A time limit from the process's start would not do: an agent that restarts again and again would never reach it.

While an agent restarts beside a healthy worker, the leader may see one report that says unresponsive, and writes worker_silent for it.

--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -38,6 +38,8 @@
       lease(lease_duration(this->values)), liveness(core::boot_clock::now()),
       election(election_settings_for(this->values.name), core::boot_clock::now())
 {
+    // Without the worker's clock this process renews nothing, so the leader must not count on it.
+    this->worker_info.unresponsive = true;
     this->report_sequence =
         static_cast<std::uint64_t>(core::boot_clock::now().time_since_epoch().count());
     net::async_server_limits limits;
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -271,8 +271,7 @@
     const core::instant now = core::boot_clock::now();
     this->liveness.on_failure();
     // The leader is informed; the lease is no longer renewed and expires.
-    if (!this->worker_info.unresponsive && this->liveness.is_unresponsive(now) &&
-        this->worker_info.started_at.count() != 0)
+    if (!this->worker_info.unresponsive && this->liveness.is_unresponsive(now))
     {
         this->worker_info.unresponsive = true;
         this->snapshot_valid = false;
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -128,4 +128,35 @@
                                milliseconds{3000}));
 }
 
+// Guards against LOST: a leader that counts the lease of a silent worker as renewed waits for it.
+TEST_CASE("an agent that has never heard its worker reports it as unresponsive")
+{
+    batch_site site(0, 1);
+    fake_leader leader(site.agent_address(0));
+    REQUIRE(leader.wait_for_report().has_value());
+    CHECK_FALSE(leader.latest_report().worker().gone());
+    site.workers().set_silent("i-0", true);
+    site.agent(0).kill_now();
+    const std::uint64_t sequence = leader.latest_report().sequence();
+    site.agent(0).restart();
+    const auto next_report = [&]
+    {
+        leader.send({}, leader.advance_clock());
+        return leader.latest_report();
+    };
+    REQUIRE(batch_site::wait_for([&] { return next_report().sequence() > sequence; }));
+    CHECK(leader.latest_report().worker().born_ms() == 0);
+    CHECK(batch_site::wait_for([&] { return next_report().worker().gone(); }, milliseconds{2500}));
+    site.workers().set_silent("i-0", false);
+    CHECK(batch_site::wait_for([&] { return !next_report().worker().gone(); }));
+    // Like a leader, repeat the start: the agent drops it until it has a lease.
+    CHECK(batch_site::wait_for(
+        [&]
+        {
+            leader.send(start_order("0000000000000001.0.0.0", 7, "60000"), leader.advance_clock());
+            return !site.workers().records().starts.empty();
+        },
+        milliseconds{3000}));
+}
+
 } // namespace
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -434,6 +434,68 @@
     check_units_ran_once(site, 3);
 }
 
+/// Kills an agent that does not lead and restarts it after its worker has become silent for good.
+/// @return the unit of job 1 that ran there.
+std::string restart_agent_of_silent_worker(batch_site& site, int agents, int units)
+{
+    const int leader = site.leader();
+    for (int agent = 0; agent < agents; ++agent)
+    {
+        const std::string log = site.agent(agent).output();
+        for (int unit = 0; unit < units && agent != leader; ++unit)
+        {
+            const std::string name = job_name(1) + ".0.0." + std::to_string(unit);
+            if (log.find(R"("event":"run_started","unit":")" + name) != std::string::npos)
+            {
+                site.workers().set_silent("i-" + std::to_string(agent), true);
+                site.agent(agent).kill_now();
+                site.agent(agent).restart();
+                return name;
+            }
+        }
+    }
+    return {};
+}
+
+/// Starts three units that run for a minute on a worker each.
+void run_long_units(batch_site& site)
+{
+    // Not stopped for want of progress, as the estimate is long.
+    REQUIRE(submit(site, 1,
+                   R"({"spec":"60000","steps":[{"count":3,"cpu":1000,"memMb":1000,"gpu":8,)"
+                   R"("estimateMs":60000}]})") == 200);
+    REQUIRE(batch_site::wait_for([&] { return site.workers().records().starts.size() == 3; }));
+}
+
+// Guards against LOST: the leader counted the lease of the silent worker as renewed without end.
+TEST_CASE("units of a silent worker move to other workers though its agent restarts")
+{
+    batch_site site(1, 5);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    run_long_units(site);
+    const std::string unit = restart_agent_of_silent_worker(site, 5, 3);
+    REQUIRE(!unit.empty());
+    CHECK(batch_site::wait_for([&] { return site.workers().records().starts[unit] == 2; },
+                               seconds{10}));
+    CHECK(site.workers().records().violations.empty());
+}
+
+// Guards against LOST: the next leader waited for the silent worker's run lists without end.
+TEST_CASE("a new leader waits for a silent worker whose agent has restarted until its lease ends")
+{
+    batch_site site(1, 5);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    run_long_units(site);
+    const std::string unit = restart_agent_of_silent_worker(site, 5, 3);
+    REQUIRE(!unit.empty());
+    site.agent(site.leader()).kill_now();
+    CHECK(batch_site::wait_for([&] { return site.workers().records().starts[unit] == 2; },
+                               seconds{15}));
+    CHECK(site.workers().records().violations.empty());
+}
+
 TEST_CASE("starts that a worker executes 2.5 s late neither duplicate nor block a gang")
 {
     batch_site site(1, 3);
--- a/tests/support/fake_leader.cpp
+++ b/tests/support/fake_leader.cpp
@@ -58,6 +58,12 @@
     return std::nullopt;
 }
 
+wire::batch_report fake_leader::latest_report()
+{
+    const std::lock_guard lock(this->guard);
+    return this->latest_of_any_kind;
+}
+
 void fake_leader::send(wire::batch_orders orders, std::int64_t clock_ms)
 {
     orders.set_epoch(epoch);
@@ -81,6 +87,10 @@
 {
     {
         const std::lock_guard lock(this->guard);
+        if (report.epoch() == epoch)
+        {
+            this->latest_of_any_kind = report;
+        }
         if (report.epoch() == epoch && report.lists_valid())
         {
             ++this->reports;
--- a/tests/support/fake_leader.hpp
+++ b/tests/support/fake_leader.hpp
@@ -25,6 +25,8 @@
     /// Waits for a report of this epoch with the worker's run lists.
     /// @return the report, or nothing after 10 s.
     [[nodiscard]] std::optional<wire::batch_report> wait_for_report();
+    /// @return the latest report of this epoch, whether or not it has run lists.
+    [[nodiscard]] wire::batch_report latest_report();
     /// Sends orders that were made at the leader's time @p clock_ms.
     void send(wire::batch_orders orders, std::int64_t clock_ms);
     /// @return the leader's clock; later than in any answer so far.
@@ -40,6 +42,7 @@
     std::int64_t clock_ms = 1000;
     std::uint64_t reports{};
     wire::batch_report latest;
+    wire::batch_report latest_of_any_kind;
     std::unique_ptr<net::transport> transport;
 };
 
