End the runs of a worker at once when it has left

What callers saw: jobs stood still, several at a time, for 5.3 to 5.6 s on a site where workers were taken away as planned; all went on together when the leases lapsed (LOST).

Cause: the announced departure made the agent report its worker as unresponsive. The leader then waits for the lease as for a worker that may still run.

A worker announces its departure right before it ends. The announcement alone may be a delayed one of an earlier process, so the agent waits until the worker's port refuses connections, too, and then reports the runs as ended. Where either is missing the lease decides as before. The HTTP client tells a refused connection from others that failed (connection_refused).

Child processes of the tests no longer inherit the stand-ins' listeners, which kept ports open.

--- a/include/chicorylift/batch/run_table.hpp
+++ b/include/chicorylift/batch/run_table.hpp
@@ -79,14 +79,18 @@
     void on_lease_renewed_after_lapse(core::instant now);
     /// Clears the table: the worker has restarted and lost all runs.
     void on_worker_restarted();
-    /// The leader has received the report that a run never started.
-    void on_not_started_acknowledged(const run_key& key);
+    /// Ends all runs: the worker's process has ended after it announced its departure.
+    /// @return whether there were any.
+    bool on_worker_ended();
+    /// The leader has received the report of an end that the worker does not list.
+    void on_unlisted_end_acknowledged(const run_key& key);
 
     /// @return calls without a response that are due for a retry; marks them as in flight.
     [[nodiscard]] std::vector<worker_command> take_due_retries(core::instant now);
     /// @return every run that may be alive.
     [[nodiscard]] std::vector<reported_run> runs() const;
-    /// @return the ended runs in the worker's list and the runs that never started.
+    /// @return the ended runs in the worker's list and those that it does not list: runs that never
+    ///         started, or that ended with the worker.
     [[nodiscard]] std::vector<reported_end> ends() const;
     /// @return whether runs() and ends() include every run of the worker's process whose end has
     /// not been acknowledged. A table that began with incomplete lists does not.
@@ -116,13 +120,20 @@
         std::int64_t percent{};
     };
 
+    struct unlisted_end
+    {
+        run_outcome outcome = run_outcome::never_started;
+        std::string reason;
+        std::string checkpoint;
+    };
+
     void mark_never_started(const run_key& key, const std::string& reason);
 
     std::map<run_key, entry> entries;
     bool complete = false;
     std::vector<reported_end> unacknowledged_ends;
-    /// Runs that never started, with the reason.
-    std::map<run_key, std::string> unstarted;
+    /// Ends that the leader has not acknowledged.
+    std::map<run_key, unlisted_end> unlisted_ends;
 };
 
 } // namespace chicorylift::batch
--- a/include/chicorylift/core/error.hpp
+++ b/include/chicorylift/core/error.hpp
@@ -21,6 +21,7 @@
     rate_limited,
     queue_full,
     no_upstream,
+    connection_refused,
     upstream_full,
     upstream_leaving,
     deadline_passed,
--- a/src/batch/run_table.cpp
+++ b/src/batch/run_table.cpp
@@ -19,7 +19,7 @@
                                                           core::instant now)
 {
     const run_key key{start.unit, start.run};
-    if (this->entries.contains(key) || this->unstarted.contains(key))
+    if (this->entries.contains(key) || this->unlisted_ends.contains(key))
     {
         return std::nullopt;
     }
@@ -43,7 +43,7 @@
 
 std::optional<worker_command> run_table::on_stop_command(const run_key& key, core::instant now)
 {
-    if (this->unstarted.contains(key))
+    if (this->unlisted_ends.contains(key))
     {
         return std::nullopt;
     }
@@ -145,7 +145,7 @@
         changed = changed || is_new;
         present.insert({end.unit, end.run});
         this->entries.erase({end.unit, end.run});
-        this->unstarted.erase({end.unit, end.run});
+        this->unlisted_ends.erase({end.unit, end.run});
     }
     this->unacknowledged_ends = lists.ended;
     if (!lists.ends_complete)
@@ -192,13 +192,25 @@
 {
     this->entries.clear();
     this->unacknowledged_ends.clear();
-    this->unstarted.clear();
+    this->unlisted_ends.clear();
     this->complete = false;
 }
 
-void run_table::on_not_started_acknowledged(const run_key& key)
+bool run_table::on_worker_ended()
 {
-    this->unstarted.erase(key);
+    const bool had_runs = !this->entries.empty();
+    for (const auto& [key, known] : this->entries)
+    {
+        this->unlisted_ends[key] = {run_outcome::lease_expired, "worker left", known.checkpoint};
+    }
+    this->entries.clear();
+    this->complete = true;
+    return had_runs;
+}
+
+void run_table::on_unlisted_end_acknowledged(const run_key& key)
+{
+    this->unlisted_ends.erase(key);
 }
 
 std::vector<worker_command> run_table::take_due_retries(core::instant now)
@@ -235,9 +247,9 @@
 std::vector<reported_end> run_table::ends() const
 {
     std::vector<reported_end> list = this->unacknowledged_ends;
-    for (const auto& [key, reason] : this->unstarted)
+    for (const auto& [key, end] : this->unlisted_ends)
     {
-        list.push_back({0, key.first, key.second, run_outcome::never_started, {}, reason});
+        list.push_back({0, key.first, key.second, end.outcome, end.checkpoint, end.reason});
     }
     return list;
 }
@@ -254,7 +266,7 @@
 void run_table::mark_never_started(const run_key& key, const std::string& reason)
 {
     this->entries.erase(key);
-    this->unstarted[key] = reason;
+    this->unlisted_ends[key] = {run_outcome::never_started, reason, {}};
 }
 
 } // namespace chicorylift::batch
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -30,6 +30,8 @@
     {error_kind::queue_full, "queue_full", 503, 6, execution_status::not_run, "the queue is full"},
     {error_kind::no_upstream, "no_upstream", 503, 7, execution_status::not_run,
      "no upstream of the service can accept the request"},
+    {error_kind::connection_refused, "connection_refused", 503, 7, execution_status::not_run,
+     "nothing listens at the address"},
     {error_kind::upstream_full, "upstream_full", 503, 7, execution_status::not_run,
      "the upstream has no free slot"},
     {error_kind::upstream_leaving, "upstream_leaving", 503, 7, execution_status::not_run,
--- a/src/net/async_http_client.cpp
+++ b/src/net/async_http_client.cpp
@@ -5,6 +5,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <array>
@@ -149,9 +150,13 @@
         }
         catch (const Poco::Exception& fault)
         {
+            // A connection to this machine may be refused at once.
+            const bool refused =
+                dynamic_cast<const Poco::Net::ConnectionRefusedException*>(&fault) != nullptr;
             const auto failed = here->current;
             to.connections.erase(here);
-            this->finish(failed, make_error(error_kind::no_upstream,
+            this->finish(failed, make_error(refused ? error_kind::connection_refused
+                                                    : error_kind::no_upstream,
                                             failed->request.address + ": " + fault.displayText()));
             return;
         }
@@ -189,7 +194,9 @@
     {
         if ((events & (EPOLLERR | EPOLLHUP)) != 0 && !here->connected)
         {
-            this->fail(here, "connection refused or reset");
+            const bool refused = here->socket.impl()->socketError() == ECONNREFUSED;
+            this->fail(here, "connection refused or reset",
+                       refused ? error_kind::connection_refused : error_kind::no_upstream);
             return;
         }
         if ((events & EPOLLOUT) != 0)
@@ -340,7 +347,8 @@
     }
 
     /// Closes the connection and fails the request on it.
-    void fail(handle here, const std::string& why)
+    /// @param unconnected the kind of error if there was no connection yet.
+    void fail(handle here, const std::string& why, error_kind unconnected = error_kind::no_upstream)
     {
         const auto lost = here->current;
         const bool connected = here->connected;
@@ -348,9 +356,8 @@
         this->close(here);
         if (lost != nullptr)
         {
-            this->finish(
-                lost, make_error(connected ? error_kind::outcome_unknown : error_kind::no_upstream,
-                                 address + lost->request.path + ": " + why));
+            this->finish(lost, make_error(connected ? error_kind::outcome_unknown : unconnected,
+                                          address + lost->request.path + ": " + why));
         }
         this->assign_waiting(address);
     }
--- a/src/net/async_http_client.hpp
+++ b/src/net/async_http_client.hpp
@@ -25,8 +25,8 @@
 class async_http_client
 {
 public:
-    /// Called once on the loop's thread with the response or an error: no_upstream when the
-    /// request was not sent, outcome_unknown when it may have been sent.
+    /// Called once on the loop's thread with the response or an error: connection_refused or
+    /// no_upstream when the request was not sent, outcome_unknown when it may have been sent.
     using response_callback = std::function<void(absl::StatusOr<client_response>)>;
 
     explicit async_http_client(event_loop& loop, async_client_limits limits = {});
--- a/src/ports/worker_control.hpp
+++ b/src/ports/worker_control.hpp
@@ -81,6 +81,8 @@
     /// The worker has seen a higher epoch.
     fenced,
     unreachable,
+    /// Nothing listens at the worker's address.
+    refused,
 };
 
 /// Result of a poll.
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -62,7 +62,7 @@
     void on_worker_response(batch::unix_time started_at);
     void send_to_worker(const batch::worker_command& command);
     void retry_due_commands();
-    void on_worker_poll_failed(const std::string& reason);
+    void on_worker_poll_failed(const ports::poll_outcome& outcome);
 
     // Communication with other agents and the store (agent_leadership.cpp).
     /// Handles the messages in the inbox.
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -178,7 +178,7 @@
         const auto unit = batch::parse_unit_key(settled.unit());
         if (unit.ok())
         {
-            this->runs.on_not_started_acknowledged({*unit, settled.run()});
+            this->runs.on_unlisted_end_acknowledged({*unit, settled.run()});
         }
     }
     for (const wire::batch_stop& stop : orders.stops())
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -228,7 +228,7 @@
     }
     if (outcome.error != ports::poll_error::none)
     {
-        this->on_worker_poll_failed(outcome.message);
+        this->on_worker_poll_failed(outcome);
         this->schedule_worker_poll(poll_retry_delay);
         return;
     }
@@ -266,10 +266,21 @@
                                          : core::milliseconds{0});
 }
 
-void agent::on_worker_poll_failed(const std::string& reason)
+void agent::on_worker_poll_failed(const ports::poll_outcome& outcome)
 {
     const core::instant now = core::boot_clock::now();
     this->liveness.on_failure();
+    if (this->worker_left && outcome.error == ports::poll_error::refused)
+    {
+        // A worker announces its departure and then ends, and so do its runs. The announcement
+        // alone may be a delayed one of an earlier process.
+        this->snapshot_valid = true;
+        if (this->runs.on_worker_ended())
+        {
+            this->report_soon();
+        }
+        return;
+    }
     // The leader is informed; the lease is no longer renewed and expires.
     if (!this->worker_info.unresponsive && this->liveness.is_unresponsive(now))
     {
@@ -277,7 +288,7 @@
         this->snapshot_valid = false;
         events::write("worker_silent",
                       {{"worker", this->worker_info.id.str()},
-                       {"reason", reason},
+                       {"reason", outcome.message},
                        {"for_ms", this->liveness.time_since_response(now).count()}});
         this->report_soon();
     }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -128,6 +128,52 @@
                                milliseconds{3000}));
 }
 
+// Guards against LOST: jobs stood still for a lease after a worker that ran them had left.
+TEST_CASE("the runs of a worker that has left are reported as ended at once")
+{
+    const std::string unit = "0000000000000001.0.0.0";
+    batch_site site(0, 1);
+    fake_leader leader(site.agent_address(0));
+    REQUIRE(leader.wait_for_report().has_value());
+    REQUIRE(leader.wait_for_report().has_value());
+    leader.send(start_order(unit, 7, "60000"), leader.advance_clock());
+    REQUIRE(batch_site::wait_for(
+        [&]
+        {
+            const auto report = leader.wait_for_report();
+            return report.has_value() && report->runs_size() == 1;
+        }));
+    site.workers().leave("i-0");
+    CHECK(batch_site::wait_for(
+        [&]
+        {
+            const wire::batch_report report = leader.latest_report();
+            return report.lists_valid() && report.runs_size() == 0 && report.ends_size() == 1 &&
+                   report.ends(0).unit() == unit && report.ends(0).run() == 7;
+        },
+        milliseconds{1500}));
+}
+
+// Guards against TWICE: a delayed departure of an earlier process must not end the runs of this
+// one.
+TEST_CASE("an announced departure of a worker that still answers ends no run")
+{
+    batch_site site(0, 1);
+    fake_leader leader(site.agent_address(0));
+    REQUIRE(leader.wait_for_report().has_value());
+    REQUIRE(leader.wait_for_report().has_value());
+    leader.send(start_order("0000000000000001.0.0.0", 7, "60000"), leader.advance_clock());
+    REQUIRE(batch_site::wait_for([&] { return !site.workers().records().starts.empty(); }));
+    net::client_request request;
+    request.address = site.control(0);
+    request.method = "DELETE";
+    request.path = "/v1/instances/i-0";
+    REQUIRE(net::send_request(request).ok());
+    std::this_thread::sleep_for(milliseconds{1500});
+    CHECK(leader.latest_report().runs_size() == 1);
+    CHECK(leader.latest_report().ends_size() == 0);
+}
+
 // Guards against LOST: a leader that counts the lease of a silent worker as renewed waits for it.
 TEST_CASE("an agent that has never heard its worker reports it as unresponsive")
 {
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -192,7 +192,7 @@
     CHECK(table.runs().empty());
     REQUIRE(table.ends().size() == 1);
     CHECK(table.ends().front().outcome == run_outcome::never_started);
-    table.on_not_started_acknowledged(key);
+    table.on_unlisted_end_acknowledged(key);
     CHECK(table.ends().empty());
 }
 
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -123,6 +123,20 @@
                              [self = this->shared_from_this(), id] { self->beat(id); });
     }
 
+    void leave(const std::string& id)
+    {
+        const std::lock_guard lock(this->guard);
+        worker& one = this->workers.at(id);
+        one.silent = true;
+        one.runs.clear();
+        one.server.reset();
+        net::client_request request;
+        request.address = one.place.agent;
+        request.method = "DELETE";
+        request.path = "/v1/instances/" + id;
+        this->client.send(request, [](const absl::StatusOr<net::client_response>&) {});
+    }
+
     void watch_lease(const std::string& id)
     {
         constexpr core::milliseconds interval{20};
@@ -547,6 +561,11 @@
     this->inner->workers.at(id).silent = silent;
 }
 
+void site_workers::leave(const std::string& id)
+{
+    this->inner->loop.post([inner = this->inner, id] { inner->leave(id); });
+}
+
 void site_workers::list_odd_rows(const std::string& id)
 {
     const std::lock_guard lock(this->inner->guard);
--- a/tests/standins/site_workers.hpp
+++ b/tests/standins/site_workers.hpp
@@ -55,6 +55,8 @@
     void reboot(const std::string& id);
     /// The worker answers nothing, and goes on with its work.
     void set_silent(const std::string& id, bool silent);
+    /// The worker announces its departure and ends, with all that it runs.
+    void leave(const std::string& id);
     /// The worker lists a run and an end that cannot be read, besides its own.
     void list_odd_rows(const std::string& id);
     /// The next starts get no answer and are carried out after @p late.
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -30,6 +30,8 @@
     const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // A listener of a stand-in would stay open in the child after the stand-in has closed it.
+    ::closefrom(STDERR_FILENO + 1);
     sigset_t none;
     sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -551,7 +551,7 @@
         worker.lease.on_report_acknowledged(sequence, core::milliseconds{0});
         for (const auto& key : settled)
         {
-            worker.table->on_not_started_acknowledged(key);
+            worker.table->on_unlisted_end_acknowledged(key);
         }
         if (noted.first == worker.info.started_at)
         {
