Place a unit elsewhere when its worker drains before it has started

What callers may see: jobs stand though there is room elsewhere.

An agent drops a start for a worker that drains. The leader, which placed the run before it heard of the draining, repeated the start, and counted the run as placed and its room as taken until the worker had left and its lease had ended. A worker may drain for many seconds; nothing else need be wrong meanwhile. The members of a gang waited with the one.

The leader now stops a run that a draining worker's complete lists don't name and that was never seen there. The agent passes the stop on, which bars a start that is still under way, and reports the run as never started; the unit is then placed again. A run that the agent lists as starting is left alone.

Evidence: the test that this commit adds. Before, the leader sent no stop; now the unit starts on the other worker. In virtual time only, not seen with real processes.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -46,6 +46,9 @@
     void handle_missing_runs(worker_state& worker,
                              const std::set<std::pair<run_number, std::int64_t>>& listed,
                              bool restarted, core::instant now);
+    /// Stops the runs that a draining worker has not started, so that they are placed elsewhere.
+    void stop_unstarted_runs(const worker_state& worker,
+                             const std::set<std::pair<run_number, std::int64_t>>& listed);
     void mark_reconciled(worker_state& worker);
     /// Assumes that the job may be running on every agent that has not reported.
     void assume_runs_of(job_state& job);
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -84,6 +84,7 @@
     }
     if (!report.lists_incomplete)
     {
+        this->stop_unstarted_runs(worker, listed);
         this->mark_reconciled(worker);
     }
 }
@@ -346,6 +347,29 @@
     }
 }
 
+void site_scheduler::implementation::stop_unstarted_runs(
+    const worker_state& worker, const std::set<std::pair<run_number, std::int64_t>>& listed)
+{
+    if (!worker.info.draining)
+    {
+        return;
+    }
+    // The agent starts nothing on a draining worker. The stop bars a start that is still under way.
+    for (const run_number number : worker.runs)
+    {
+        run_state& run = this->runs.at(number);
+        for (const run_member_state& member : run.members)
+        {
+            if (member.agent == worker.agent && !member.ended && !member.confirmed &&
+                !listed.contains({number, member.index}))
+            {
+                this->stop_run(run, "its worker drains and has not started it");
+                break;
+            }
+        }
+    }
+}
+
 void site_scheduler::implementation::mark_reconciled(worker_state& worker)
 {
     if (worker.reconciled)
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -336,6 +336,44 @@
     CHECK(commands.front().unit.job == fresh.id);
 }
 
+// Guards against LOST: an agent drops starts for a draining worker, which may drain for long.
+TEST_CASE("a unit that has not started on a worker that begins to drain is placed elsewhere")
+{
+    const unit_key unit{core::job_id("j"), 0, 0, 0};
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'000}));
+    const auto report = [&scheduler](const worker_report& sent, milliseconds at)
+    {
+        scheduler.on_report(sent, instant_at(at));
+        scheduler.on_renewal_sent(sent.agent, instant_at(at));
+    };
+    report(report_of("a"), milliseconds{10'010});
+    auto commands = scheduler.schedule(instant_at(milliseconds{10'020}), {}, true);
+    REQUIRE(commands.size() == 1);
+    REQUIRE(commands.front().agent == agent_id("a"));
+    const run_number run = commands.front().run;
+    worker_report draining = report_of("a");
+    draining.worker.draining = true;
+    report(report_of("b"), milliseconds{10'040});
+    // The agent has passed the start on.
+    draining.runs = {{unit, run, run_phase::starting, "", 0}};
+    report(draining, milliseconds{10'040});
+    CHECK(scheduler.schedule(instant_at(milliseconds{10'050}), {}, true).empty());
+    // The worker drained when the start arrived.
+    draining.runs = {};
+    report(draining, milliseconds{10'100});
+    commands = scheduler.schedule(instant_at(milliseconds{10'110}), {}, true);
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().what == agent_command::action::stop);
+    CHECK(commands.front().run == run);
+    draining.ends = {{0, unit, run, run_outcome::never_started, "", "barred"}};
+    report(draining, milliseconds{10'200});
+    commands = scheduler.schedule(instant_at(milliseconds{10'400}), {}, true);
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().what == agent_command::action::start);
+    CHECK(commands.front().agent == agent_id("b"));
+}
+
 TEST_CASE("a start whose agent has been persisted does not wait for the next scheduling pass")
 {
     site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
