Bound a write of jobs' progress by its size

What callers may see: jobs whose units have ended stay unfinished.

The table service takes calls of at most 1 MB. A write of progress held up to 30 jobs, each with up to 1000 checkpoints, which can be more than that. The service refuses such a call, the leader repeats it without end, and no progress of any job behind these is stored. The leader takes the refusals for a store that is not writable and starts work without it.

A call now holds at most 600 kB of rows, 800 kB as they are sent, but always one job; a row holds at most 64 KB. The rest follows with the next write, which isn't held back while starts wait for it.

Evidence: the test that this commit adds, with real processes: 30 interrupted jobs of 1000 checkpoints each, and one more job. The stand-in of the store refuses calls of more than 1 MB or 100 entries, as the service does.

Not changed: a write that trims ended jobs may exceed 100 entries when more than 9 agents are removed at once. It fails once, and the rows of these agents stay.

--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -5,6 +5,7 @@
 #include "support/unix_clock.hpp"
 
 #include <algorithm>
+#include <utility>
 
 /// Parts of the leader that load, persist and trim rows of the table service.
 namespace chicorylift::site
@@ -19,6 +20,9 @@
 // Progress that finishes no job is batched over this interval.
 constexpr core::milliseconds lazy_write_interval{200};
 constexpr std::size_t max_jobs_per_write = 30;
+// A call holds 1 MB, in which rows take a third more, besides their keys and versions. A row holds
+// 64 KB.
+constexpr std::size_t max_progress_bytes_per_write = 600'000;
 constexpr core::milliseconds trim_interval = std::chrono::seconds{5};
 // A client may repeat a request for a job this long after the configured retention.
 constexpr core::milliseconds retention_margin = std::chrono::seconds{2};
@@ -200,6 +204,7 @@
     ports::transaction changes;
     changes.conditions.push_back({leader_row_id(), this->row_version});
     std::map<core::job_id, std::uint64_t> included;
+    std::size_t bytes = 0;
     for (const core::job_id& job : jobs)
     {
         if (included.size() == max_jobs_per_write)
@@ -208,6 +213,12 @@
         }
         const ports::row_id row_id = job_row_id(job, job_row_kind::progress);
         const batch::job_progress progress = this->scheduler.progress_of(job);
+        std::string value = to_row(progress).SerializeAsString();
+        bytes += value.size();
+        if (bytes > max_progress_bytes_per_write && !included.empty())
+        {
+            break;
+        }
         // A delayed write whose response was lost must not overwrite a later one.
         changes.conditions.push_back({row_id, this->job_rows->version_of(row_id.key)});
         if (progress.outcome != batch::job_outcome::unfinished)
@@ -215,7 +226,7 @@
             // A job that callers see as cancelled must not change to completed or failed.
             changes.conditions.push_back({job_row_id(job, job_row_kind::cancel), 0});
         }
-        changes.writes.push_back({row_id, to_row(progress).SerializeAsString()});
+        changes.writes.push_back({row_id, std::move(value)});
         included[job] = this->scheduler.unpersisted_version(job);
     }
     this->write_in_flight = true;
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -434,6 +434,57 @@
     check_units_ran_once(site, 3);
 }
 
+/// Stores a job whose second step has been interrupted with 1000 checkpoints.
+void put_interrupted_job(batch_site& site, int number)
+{
+    const std::string partition = "site";
+    constexpr int units = 1000;
+    constexpr std::size_t checkpoint_length = 32;
+    wire::batch_job job;
+    job.set_id(job_name(number));
+    job.set_organisation("a");
+    job.mutable_terms()->set_queue("q");
+    job.mutable_terms()->set_service("svc");
+    job.set_payload("60000");
+    for (int step = 0; step < 2; ++step)
+    {
+        wire::batch_step& each = *job.add_steps();
+        each.set_units(step == 0 ? 1 : units);
+        each.mutable_per_unit()->set_millicores(1000);
+        each.mutable_per_unit()->set_memory_mb(1000);
+        each.set_estimate_ms(60'000);
+    }
+    job.mutable_steps(1)->add_after(0);
+    wire::batch_progress progress;
+    for (int unit = 0; unit < units; ++unit)
+    {
+        wire::batch_saved_unit& saved = *progress.add_saved();
+        saved.set_step(1);
+        saved.set_unit(unit);
+        saved.set_checkpoint(std::string(checkpoint_length, 'c'));
+    }
+    site.store().put("jobs", job.id() + "/accepted", job.SerializeAsString(), partition);
+    site.store().put("jobs", job.id() + "/progress", progress.SerializeAsString(), partition);
+}
+
+// Guards against LOST: the store refuses a call of more than 1 MB, however often it is repeated.
+TEST_CASE("jobs with many checkpoints that change together do not keep progress from being stored")
+{
+    constexpr int jobs = 30;
+    batch_site site(1, 3);
+    for (int number = 1; number <= jobs; ++number)
+    {
+        put_interrupted_job(site, number);
+    }
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    REQUIRE(submit(site, jobs + 1, job_body("100", 1, 1, false)) == 200);
+    CHECK(site.wait_for_state(job_name(jobs + 1), "completed", seconds{10}));
+    CHECK(batch_site::wait_for([&] { return site.workers().records().starts.size() > jobs; }));
+    CHECK(site.workers().records().violations.empty());
+    CHECK(site.agent(site.leader()).output().find("store_lost") == std::string::npos);
+}
+
 /// Kills an agent that does not lead and restarts it after its worker has become silent for good.
 /// @return the unit of job 1 that ran there.
 std::string restart_agent_of_silent_worker(batch_site& site, int agents, int units)
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -16,6 +16,8 @@
 using responder = net::async_http_server::responder;
 
 constexpr std::size_t page_size = 500;
+constexpr std::size_t max_entries_per_call = 100;
+constexpr std::size_t max_call_bytes = 1'000'000;
 constexpr int status_conflict = 412;
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
@@ -154,7 +156,11 @@
     {
         net::server_response response;
         auto body = json_reader::parse(text);
-        if (!body.ok())
+        if (!body.ok() || text.size() > max_call_bytes ||
+            body->get_objects("expectedRevision", false).size() +
+                    body->get_objects("puts", false).size() +
+                    body->get_objects("remove", false).size() >
+                max_entries_per_call)
         {
             response.status = 400;
             return response;
