Take no run from lists that are older than the lease timeout

What callers may see: at most a delay.

An agent whose worker has left, and no longer answers, goes on reporting the last lists that it read, with the runs in them. The leader ended these runs when the lease had ended, but the next report brought them back: the worker was no longer lost, its runs were adopted and stopped, the agent was added to their jobs, and the next pass took the worker as lost again. Each round wrote the jobs' progress, and a later leader would wait for that agent again.

Runs in lists older than the lease timeout have no lease, so the leader now takes only the ends from such lists.

Evidence: the test that this commit adds. Before, each such report left a job to be written and a decision in the log; now neither. In virtual time only, not seen with real processes.

--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -66,23 +66,28 @@
     {
         return;
     }
-    worker.lost = false;
     worker.lists_read_at = now - report.lists_age;
     for (const reported_end& end : report.ends)
     {
         this->on_run_end(worker, end, now);
     }
+    // Runs in older lists have no lease any more.
+    const bool lists_current = report.lists_age <= this->settings.lease_timeout;
+    worker.lost = worker.lost && !lists_current;
     std::set<std::pair<run_number, std::int64_t>> listed;
     for (const reported_run& run : report.runs)
     {
         listed.insert({run.run, run.unit.index});
-        this->on_reported_run(worker, run, now);
+        if (lists_current)
+        {
+            this->on_reported_run(worker, run, now);
+        }
     }
-    if (restarted || !report.lists_incomplete)
+    if (restarted || (lists_current && !report.lists_incomplete))
     {
         this->handle_missing_runs(worker, listed, restarted, now);
     }
-    if (!report.lists_incomplete)
+    if (lists_current && !report.lists_incomplete)
     {
         this->stop_unstarted_runs(worker, listed);
         this->mark_reconciled(worker);
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -374,6 +374,41 @@
     CHECK(commands.front().agent == agent_id("b"));
 }
 
+// Guards against LOST: an agent goes on reporting the last run lists of a worker that has left.
+TEST_CASE("runs in lists older than the lease timeout are neither adopted nor stopped")
+{
+    const unit_key unit{core::job_id("j"), 0, 0, 0};
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'000}));
+    worker_report left = report_of("a");
+    left.runs = {{unit, 7, run_phase::running, "", 20}};
+    scheduler.on_report(left, instant_at(milliseconds{10'010}));
+    CHECK(scheduler.schedule(instant_at(milliseconds{10'020}), {}, true).empty());
+    left.worker.unresponsive = true;
+    const auto place_at = [&](milliseconds at)
+    {
+        left.lists_age = at - milliseconds{10'010};
+        scheduler.on_report(left, instant_at(at));
+        scheduler.on_renewal_sent(left.agent, instant_at(at));
+        scheduler.on_report(report_of("b"), instant_at(at));
+        scheduler.on_renewal_sent(agent_id("b"), instant_at(at));
+        return scheduler.schedule(instant_at(at + milliseconds{10}), {}, true);
+    };
+    CHECK(place_at(milliseconds{10'100}).empty());
+    // The default lease timeout is 6.2 s.
+    const auto commands = place_at(milliseconds{16'400});
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().agent == agent_id("b"));
+    scheduler.on_persisted(unit.job, scheduler.unpersisted_version(unit.job));
+    static_cast<void>(scheduler.take_records());
+    for (const milliseconds at : {milliseconds{16'600}, milliseconds{17'000}})
+    {
+        CHECK(place_at(at).empty());
+        CHECK(scheduler.unpersisted_jobs().empty());
+        CHECK(scheduler.take_records().empty());
+    }
+}
+
 TEST_CASE("a start whose agent has been persisted does not wait for the next scheduling pass")
 {
     site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
