Don't extend a lease by answers that its leader does not count

Cause: while a worker does not answer, the leader counts its lease from the report that says so, and no answer to such a report as a renewal. The agent did extend the lease by those answers. Once the worker answered again, the agent renewed its runs up to a whole lease beyond the leader's count, and a repeated start did so even during the silence. If the report that the worker is back was held up for the rest of the lease timeout, the leader started the units elsewhere while they ran.

The agent now offers only those reports for an extension that the leader counts: lease and count rest on the same reports. A worker that is back is renewed after one exchange with the leader.

The stand-in of the workers took no lease from starts of runs that are there or that it refuses as old, although workers do; it hid the second case. It takes it now, and records the leases.

--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -348,7 +348,11 @@
     report.set_members_version(this->members_version);
     report.set_leaving(this->leaving);
     report.set_lead_clock_ms(this->orders_received.newest_clock_ms());
-    this->lease.on_report_sent(this->report_sequence, now);
+    if (!this->worker_info.unresponsive)
+    {
+        // The leader does not count its answers to the other reports as renewals.
+        this->lease.on_report_sent(this->report_sequence, now);
+    }
     this->window.on_sent(this->report_sequence);
     this->last_report = now;
     this->send(this->leader_address, std::move(message));
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -2,6 +2,7 @@
 #include "support/batch_site.hpp"
 #include "support/fake_leader.hpp"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <string>
 #include <thread>
@@ -205,4 +206,83 @@
         milliseconds{3000}));
 }
 
+/// Leader whose last word of the worker is that it is silent: later reports are held up.
+class leader_of_silent_worker
+{
+public:
+    explicit leader_of_silent_worker(const std::string& agent_address) : leader(agent_address)
+    {
+        this->leader.answer_only(
+            [this](const wire::batch_report& report)
+            {
+                // An agent's first reports are made before it has heard its worker.
+                this->heard = this->heard || !report.worker().gone();
+                const bool silent = this->heard && report.worker().gone();
+                if (silent && this->silent_since_ms == 0)
+                {
+                    this->silent_since_ms = core::boot_clock::now().time_since_epoch().count();
+                }
+                return silent || this->silent_since_ms == 0;
+            });
+    }
+
+    fake_leader& orders() { return this->leader; }
+    [[nodiscard]] bool knows_of_silence() const { return this->silent_since_ms != 0; }
+    /// @return when the last lease ends that the leader knows of, in an agent of default settings.
+    [[nodiscard]] core::instant end_of_leases() const
+    {
+        constexpr milliseconds lease_duration{5100};
+        return core::instant_at(milliseconds{this->silent_since_ms}) + lease_duration;
+    }
+
+private:
+    bool heard = false;
+    std::atomic<std::int64_t> silent_since_ms{0};
+    fake_leader leader;
+};
+
+// Guards against TWICE: runs go on after a silence of their worker that their leader counts as the
+// end of the lease.
+TEST_CASE("a worker that was silent gets no lease before the leader knows that it is back")
+{
+    batch_site site(0, 1);
+    leader_of_silent_worker leader(site.agent_address(0));
+    REQUIRE(leader.orders().wait_for_report().has_value());
+    REQUIRE(leader.orders().wait_for_report().has_value());
+    leader.orders().send(start_order("0000000000000001.0.0.0", 7, "60000"),
+                         leader.orders().advance_clock());
+    REQUIRE(batch_site::wait_for([&] { return !site.workers().records().starts.empty(); }));
+    site.workers().set_silent("i-0", true);
+    REQUIRE(batch_site::wait_for([&] { return leader.knows_of_silence(); }));
+    std::this_thread::sleep_for(milliseconds{2000});
+    site.workers().set_silent("i-0", false);
+    std::this_thread::sleep_for(milliseconds{1500});
+    CHECK(site.workers().records().leases.at("i-0") <= leader.end_of_leases());
+}
+
+// Guards against TWICE: the repetition of an unanswered start renews the leases of all runs of a
+// worker that its leader counts as silent.
+TEST_CASE("a start that is repeated to a silent worker renews no lease")
+{
+    batch_site site(0, 1);
+    leader_of_silent_worker leader(site.agent_address(0));
+    REQUIRE(leader.orders().wait_for_report().has_value());
+    REQUIRE(leader.orders().wait_for_report().has_value());
+    site.workers().lose_responses("i-0", true);
+    // The first attempt is made before the agent finds the worker silent, the second one after.
+    std::uint64_t number = 0;
+    CHECK(batch_site::wait_for(
+        [&]
+        {
+            ++number;
+            leader.orders().send(
+                start_order("0000000000000001.0.0." + std::to_string(number), number, "60000"),
+                leader.orders().advance_clock());
+            std::this_thread::sleep_for(milliseconds{100});
+            return leader.knows_of_silence();
+        }));
+    std::this_thread::sleep_for(milliseconds{1500});
+    CHECK(site.workers().records().leases.at("i-0") <= leader.end_of_leases());
+}
+
 } // namespace
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -57,6 +57,7 @@
     std::int64_t lease_until{};
     std::vector<responder> waiting;
     bool silent = false;
+    bool responses_lost = false;
     bool lists_odd_rows = false;
 };
 
@@ -82,7 +83,14 @@
             [this, &one](const net::server_request& request, const responder& respond)
             {
                 const std::lock_guard lock(this->guard);
-                this->answer(one, request, respond);
+                this->answer(one, request,
+                             [&one, respond](const net::server_response& response)
+                             {
+                                 if (!one.responses_lost)
+                                 {
+                                     respond(response);
+                                 }
+                             });
             });
         this->beat(place.id);
         this->watch_lease(place.id);
@@ -242,6 +250,8 @@
     std::string begin(worker& one, const std::string& unit, std::uint64_t number,
                       const std::string& payload, std::int64_t until)
     {
+        // Also taken from a start of a run that is there or is refused as old.
+        one.lease_until = std::max(one.lease_until, until);
         const auto there = one.runs.find(unit);
         if (there != one.runs.end() && there->second.number == number)
         {
@@ -255,7 +265,6 @@
         {
             return "old";
         }
-        one.lease_until = std::max(one.lease_until, until);
         for (const auto& [id, other] : this->workers)
         {
             if (other.runs.contains(unit))
@@ -514,7 +523,12 @@
 worker_records site_workers::records() const
 {
     const std::lock_guard lock(this->inner->guard);
-    return this->inner->seen;
+    worker_records copy = this->inner->seen;
+    for (const auto& [id, one] : this->inner->workers)
+    {
+        copy.leases[id] = core::instant_at(core::milliseconds{one.lease_until});
+    }
+    return copy;
 }
 
 void site_workers::reboot(const std::string& id)
@@ -566,6 +580,12 @@
     this->inner->loop.post([inner = this->inner, id] { inner->leave(id); });
 }
 
+void site_workers::lose_responses(const std::string& id, bool lost)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->workers.at(id).responses_lost = lost;
+}
+
 void site_workers::list_odd_rows(const std::string& id)
 {
     const std::lock_guard lock(this->inner->guard);
--- a/tests/standins/site_workers.hpp
+++ b/tests/standins/site_workers.hpp
@@ -34,6 +34,8 @@
     std::map<std::string, int> done;
     /// What must never happen, one line each.
     std::vector<std::string> violations;
+    /// Until when each worker lets its runs continue, on the boot clock, by worker id.
+    std::map<std::string, core::instant> leases;
     int alone = 0;
 };
 
@@ -57,6 +59,8 @@
     void set_silent(const std::string& id, bool silent);
     /// The worker announces its departure and ends, with all that it runs.
     void leave(const std::string& id);
+    /// The worker carries out what it is told, and its responses are lost.
+    void lose_responses(const std::string& id, bool lost);
     /// The worker lists a run and an end that cannot be read, besides its own.
     void list_odd_rows(const std::string& id);
     /// The next starts get no answer and are carried out after @p late.
--- a/tests/support/fake_leader.cpp
+++ b/tests/support/fake_leader.cpp
@@ -64,6 +64,12 @@
     return this->latest_of_any_kind;
 }
 
+void fake_leader::answer_only(std::function<bool(const wire::batch_report&)> condition)
+{
+    const std::lock_guard lock(this->guard);
+    this->condition = std::move(condition);
+}
+
 void fake_leader::send(wire::batch_orders orders, std::int64_t clock_ms)
 {
     orders.set_epoch(epoch);
@@ -87,6 +93,10 @@
 {
     {
         const std::lock_guard lock(this->guard);
+        if (this->condition && !this->condition(report))
+        {
+            return;
+        }
         if (report.epoch() == epoch)
         {
             this->latest_of_any_kind = report;
--- a/tests/support/fake_leader.hpp
+++ b/tests/support/fake_leader.hpp
@@ -4,6 +4,7 @@
 #include "wire/wire.pb.h"
 
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -27,6 +28,9 @@
     [[nodiscard]] std::optional<wire::batch_report> wait_for_report();
     /// @return the latest report of this epoch, whether or not it has run lists.
     [[nodiscard]] wire::batch_report latest_report();
+    /// Answers from now on only the reports for which @p condition, called for each one, holds; the
+    /// others are held up on their way.
+    void answer_only(std::function<bool(const wire::batch_report&)> condition);
     /// Sends orders that were made at the leader's time @p clock_ms.
     void send(wire::batch_orders orders, std::int64_t clock_ms);
     /// @return the leader's clock; later than in any answer so far.
@@ -41,6 +45,7 @@
     std::condition_variable reported;
     std::int64_t clock_ms = 1000;
     std::uint64_t reports{};
+    std::function<bool(const wire::batch_report&)> condition;
     wire::batch_report latest;
     wire::batch_report latest_of_any_kind;
     std::unique_ptr<net::transport> transport;
