Count the leases that a leader renews before it has read its members

What callers could see: after a change of leader with a slow store, units run twice. Not known to have been seen.

Cause: a new leader answers reports, and so renews leases, before it has read members and jobs. Its count ignored renewals of agents that it did not know yet. If the members took longer to read than a lease lasts, the first pass counted every agent from the takeover as lost, although its lease had just been renewed, and started the units of its runs elsewhere.

A renewal now makes the agent known, as a report does. Evidence: the test fails before (three checks: the unit is placed at once instead of after the lease timeout) and passes now.

--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -223,11 +223,12 @@
 
 void site_scheduler::on_renewal_sent(const agent_id& agent, core::instant now)
 {
-    const auto found = this->inner->workers.find(agent);
+    // The agent may have reported before its member row was read.
+    worker_state& worker = this->inner->get_or_create_worker(agent);
     // The agent does not renew the lease of an unresponsive worker.
-    if (found != this->inner->workers.end() && !found->second.info.unresponsive)
+    if (!worker.info.unresponsive)
     {
-        found->second.last_renewal_at = now;
+        worker.last_renewal_at = now;
     }
 }
 
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -583,4 +583,27 @@
     CHECK(!starts_a_unit(next_leader, leaving, milliseconds{13'000}));
 }
 
+// Guards against TWICE: a leader whose members took longer to read than a lease lasts counts the
+// agents that it has answered meanwhile as lost.
+TEST_CASE("leases that a leader renews before it has read its members are counted")
+{
+    site_scheduler scheduler(settings_of_epoch(2), instant_at(milliseconds{10'000}));
+    scheduler.count_leases_from(instant_at(milliseconds{10'000}));
+    scheduler.on_renewal_sent(agent_id("far"), instant_at(milliseconds{17'000}));
+    scheduler.add_agent(agent_id("far"));
+    job_progress progress;
+    progress.agents = {agent_id("far")};
+    scheduler.add_job(one_unit_job(), progress, false, instant_at(milliseconds{17'100}));
+    const auto placed_at = [&scheduler](milliseconds at)
+    {
+        scheduler.on_report(report_of("near"), instant_at(at));
+        scheduler.on_renewal_sent(agent_id("near"), instant_at(at));
+        return !scheduler.schedule(instant_at(at), {}, true).empty();
+    };
+    CHECK(!placed_at(milliseconds{17'120}));
+    // The default lease timeout is 6.2 s.
+    CHECK(!placed_at(milliseconds{23'100}));
+    CHECK(placed_at(milliseconds{23'300}));
+}
+
 } // namespace
