Settle a takeover only when the leader has read its members

What callers could see: units run twice after a change of leader during or after a store outage.

Cause: a new leader counted a majority among the agents that it knew. Until it had read the members these were just the ones that had reported, at first its own. One informed agent then was a majority: the takeover was settled, leases of earlier leaders were counted from too early, later warnings of unpersisted starts were ignored, and agents were told to drop them. A unit that an earlier leader had started without a write could so be started elsewhere.

The guard counts no majority before the members have been read, keeps what agents report meanwhile, and settles then.

--- a/include/chicorylift/batch/takeover_guard.hpp
+++ b/include/chicorylift/batch/takeover_guard.hpp
@@ -43,6 +43,10 @@
     {
     }
 
+    /// Counts no majority until on_members_read(): not all agents have been added yet.
+    void await_members() noexcept { this->members_known = false; }
+    /// All agents have been added.
+    void on_members_read(core::instant now);
     void add_agent(const agent_id& agent);
     void remove_agent(const agent_id& agent);
     /// Handles an agent's report.
@@ -82,6 +86,7 @@
 
     [[nodiscard]] std::size_t count(bool known_agent::*property) const;
     [[nodiscard]] bool has_majority() const;
+    void settle(core::instant now);
     /// Assumes unpersisted starts and announces them again, so that the next leader hears of them
     /// too if this one fails before it has accounted for them.
     void assume_unpersisted_starts() noexcept;
@@ -89,6 +94,7 @@
     core::instant began;
     std::optional<core::instant> followed_at;
     core::milliseconds lease_timeout;
+    bool members_known = true;
     bool announcing = false;
     bool predecessor_unpersisted = false;
     mutable bool may_place_latched = false;
--- a/src/batch/takeover_guard.cpp
+++ b/src/batch/takeover_guard.cpp
@@ -30,18 +30,29 @@
     {
         return;
     }
-    if (!this->followed_at.has_value() && this->has_majority())
-    {
-        this->followed_at = now;
-    }
     if (report.earlier_unpersisted)
     {
         this->assume_unpersisted_starts();
     }
+    this->settle(now);
+}
+
+void takeover_guard::on_members_read(core::instant now)
+{
+    if (!this->members_known)
+    {
+        this->members_known = true;
+        this->settle(now);
+    }
+}
+
+void takeover_guard::settle(core::instant now)
+{
     if (!this->has_majority())
     {
         return;
     }
+    this->followed_at = this->followed_at.value_or(now);
     const std::size_t informed = this->count(&known_agent::informed);
     const std::size_t uninformed = this->count(&known_agent::reported) - informed;
     const bool most_are_informed = informed * 2 > this->agents.size();
@@ -89,12 +100,13 @@
 
 bool takeover_guard::has_majority() const
 {
-    return this->count(&known_agent::reported) * 2 > this->agents.size();
+    return this->members_known && this->count(&known_agent::reported) * 2 > this->agents.size();
 }
 
 bool takeover_guard::may_start_unpersisted() const
 {
-    return this->announcing && this->count(&known_agent::confirmed) * 2 > this->agents.size();
+    return this->announcing && this->members_known &&
+           this->count(&known_agent::confirmed) * 2 > this->agents.size();
 }
 
 } // namespace chicorylift::batch
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -78,11 +78,12 @@
       guard(core::boot_clock::now(), lease_timeout(this->context.values)),
       began(core::boot_clock::now()), last_tick(this->began)
 {
+    this->guard.await_members();
     this->member_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
         mirror_settings{member_table, site_partition, member_wait},
         [this](const ports::row& row) { this->on_member_row(row); },
-        [this] { this->load_jobs_if_ready(); });
+        [this] { this->on_members_confirmed(); });
     this->config_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
         mirror_settings{platform::config_table, "", config_wait},
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -105,6 +105,7 @@
     void on_config_row(const ports::row& row);
     void on_leader_row(const ports::row& row);
     void on_member_row(const ports::row& row);
+    void on_members_confirmed();
     void load_jobs_if_ready();
     void schedule_pass();
     void run_pass();
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -54,6 +54,19 @@
     this->confirmation.add_agent(batch::agent_id(member->agent()));
 }
 
+void leader::on_members_confirmed()
+{
+    if (this->member_rows->is_loaded())
+    {
+        this->guard.on_members_read(core::boot_clock::now());
+        if (this->guard.predecessor_may_have_unpersisted_runs())
+        {
+            this->scheduler.assume_runs_on_unreported_agents();
+        }
+    }
+    this->load_jobs_if_ready();
+}
+
 void leader::on_config_row(const ports::row& row)
 {
     if (!apply_config_row(row, "lead", this->config))
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -606,4 +606,29 @@
     CHECK(placed_at(milliseconds{23'300}));
 }
 
+// Guards against TWICE: a new leader settles its takeover by the agents that report before it has
+// read its members, and misses the warning of unpersisted starts that the others carry.
+TEST_CASE("a new leader counts no majority before it has read its members")
+{
+    takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5552});
+    guard.await_members();
+    guard.on_report(agent_id("own"),
+                    {.confirmed = false, .earlier_unpersisted = false, .informed = true},
+                    instant_at(milliseconds{20}));
+    CHECK(!guard.may_place(instant_at(milliseconds{20})));
+    for (const char* const name : {"own", "a", "b"})
+    {
+        guard.add_agent(agent_id(name));
+    }
+    guard.on_members_read(instant_at(milliseconds{50}));
+    CHECK(!guard.may_place(instant_at(milliseconds{50})));
+    CHECK(!guard.predecessor_may_have_unpersisted_runs());
+    guard.on_report(agent_id("a"),
+                    {.confirmed = false, .earlier_unpersisted = true, .informed = true},
+                    instant_at(milliseconds{100}));
+    CHECK(guard.may_place(instant_at(milliseconds{100})));
+    CHECK(guard.predecessor_may_have_unpersisted_runs());
+    CHECK(guard.followed_since() == instant_at(milliseconds{100}));
+}
+
 } // namespace
