Use distrusted workers where a job would stand still beside spare capacity

Cause: a worker on which two runs in a row have failed is quarantined, for 2 s at first and up to 16 s later, one on which a run has stalled for 8 s. Jobs that fail by themselves do that to sound workers. Where few workers have the label that a step requires, all of them were quarantined at once, again and again, and no bound held for the other jobs that need the label.

A group that has waited for 1.5 s on a service of which less than half is in use may now be placed on quarantined workers. They are the last choice, as workers with recent failures are. On a busy service, and for the first 1.5 s, quarantine holds as before, so that a worker that fails everything does not use up the attempts of jobs that others could run.

--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -121,12 +121,13 @@
         const std::set<agent_id>& failed = state.units[to_index(unit)].failed_on;
         failed_on.insert(failed.begin(), failed.end());
     }
+    const bool any_room = this->waits_beside_spare(group, now);
     std::vector<candidate_worker> candidates;
     candidates.reserve(this->workers.size());
     for (const auto& [id, worker] : this->workers)
     {
         if (!this->may_place_on(worker, *group.job, step, now) ||
-            worker.failure_history.quarantined_until > now)
+            (worker.failure_history.quarantined_until > now && !any_room))
         {
             continue;
         }
@@ -136,8 +137,9 @@
         candidate.free = available[worker.index];
         candidate.index = worker.index;
         candidate.step_units = units_per_worker.empty() ? 0 : units_per_worker[worker.index];
-        candidate.has_recent_failures =
-            worker.failure_history.failures > 0 || (!failed_on.empty() && failed_on.contains(id));
+        candidate.has_recent_failures = worker.failure_history.failures > 0 ||
+                                        worker.failure_history.quarantined_until > now ||
+                                        (!failed_on.empty() && failed_on.contains(id));
     }
     return candidates;
 }
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -265,6 +265,40 @@
     CHECK(site.violations().empty());
 }
 
+// Guards against LOST: jobs that failed by themselves had all workers that fit quarantined.
+TEST_CASE("jobs that fail by themselves do not keep other jobs from their workers")
+{
+    virtual_site site(23);
+    const auto in_first_rack = [](milliseconds length)
+    {
+        batch::step_spec step = step_of(1, 8, length);
+        step.required_label = "rack0";
+        return step;
+    };
+    for (int number = 0; number < 9; ++number)
+    {
+        site.submit(milliseconds{2000 + number * 100},
+                    one_step_job("hopeless" + std::to_string(number), "x", queue_with(1),
+                                 in_first_rack(seconds{1})),
+                    {{seconds{1}}, /*poison=*/true});
+    }
+    for (int number = 0; number < 10; ++number)
+    {
+        site.submit(milliseconds{3000 + number * 2000},
+                    one_step_job("job" + std::to_string(number), "y", queue_with(1),
+                                 in_first_rack(seconds{1})),
+                    {{seconds{1}}});
+    }
+    site.play(seconds{60});
+    check_no_violations(site);
+    for (int number = 0; number < 10; ++number)
+    {
+        CAPTURE(number);
+        const auto& result = site.results().at(core::job_id("job" + std::to_string(number)));
+        CHECK(result.first_start.value() - result.accepted < seconds{3});
+    }
+}
+
 TEST_CASE("preemption for guaranteed work stops no more runs than needed")
 {
     virtual_site site(7);
