Place a unit elsewhere when its worker drains before the start

What callers saw: an accepted job with room for it never ran (LOST), without any fault.

Cause: a worker's agent carries out no start once the worker drains or the agent itself is stopping, and only logs it (start_dropped). The leader learns of the draining a moment later, but not of the dropped start: to it the unit stays placed, and it repeats the order without end. The other members of a gang wait in vain as well. The wait ends only when the worker's lease lapses.

A run that has an unconfirmed member on a worker that drains, or whose agent is stopping, is now stopped once the interval for repeating the order has passed. The stop bars the start, and the units are placed on other workers when it is confirmed.

A single unit and a gang start within 3 s now.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -82,6 +82,8 @@
     void expire_worker_leases(core::instant now);
     void stop_stalled_runs(core::instant now);
     void stop_incomplete_gangs(core::instant now);
+    /// Stops runs with a start that is not carried out because the worker drains.
+    void stop_refused_starts(core::instant now);
     void create_due_occurrences(job_state& job, unix_time wall_time);
     std::vector<placement_group> ready_groups(core::instant now, unix_time wall_time);
     void compute_rank(placement_group& group, core::instant now) const;
--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -299,6 +299,28 @@
     }
 }
 
+// Guards against LOST: a start reached a worker that had just begun to drain, and the job waited
+// for it for ever.
+TEST_CASE("a unit whose worker begins to drain before the start is placed elsewhere")
+{
+    for (const bool gang : {false, true})
+    {
+        CAPTURE(gang);
+        virtual_site site(24);
+        batch::step_spec step = step_of(2, 4, seconds{1});
+        step.gang = gang;
+        site.drain(milliseconds{3000}, 0);
+        site.submit(milliseconds{3001}, one_step_job("job", "x", queue_with(1), step),
+                    {{seconds{1}}});
+        site.play(seconds{20});
+        check_no_violations(site);
+        const auto& result = site.results().at(core::job_id("job"));
+        REQUIRE(result.all_started.has_value());
+        CHECK(*result.all_started - result.accepted < seconds{3});
+        CHECK(completed_jobs(site) == 1);
+    }
+}
+
 TEST_CASE("preemption for guaranteed work stops no more runs than needed")
 {
     virtual_site site(7);
