--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -97,6 +97,121 @@
     }
 }
 
+/// Submits jobs of all kinds of steps: rack-local gangs of up to eight accelerators a unit, data
+/// racks, labels, scheduled occurrences and long-running units, and jobs that fail by themselves.
+void add_varied_load(virtual_site& site, int jobs, milliseconds span)
+{
+    auto& random = site.random();
+    const auto random_below = [&random](std::int64_t below)
+    { return static_cast<std::int64_t>(random() % static_cast<std::uint32_t>(below)); };
+    const std::vector<std::string> organisations{"owner", "tenant", "x", "y"};
+    site.set_terms({},
+                   {{core::organisation_id("owner"), 24}, {core::organisation_id("tenant"), 8}});
+    for (int number = 0; number < jobs; ++number)
+    {
+        const milliseconds at{2000 + random_below(span.count())};
+        const milliseconds length{500 + random_below(random_below(3) == 0 ? 6000 : 2500)};
+        batch::step_spec step = step_of(1 + random_below(4), 1 << random_below(4), length);
+        step.gang = random_below(2) == 0;
+        step.rack_local = step.gang && random_below(3) > 0;
+        step.checkpointing = random_below(2) == 0;
+        step.max_per_worker = random_below(6) == 0 ? 1 : 0;
+        if (random_below(4) == 0)
+        {
+            step.data_rack = "rack" + std::to_string(random_below(4));
+        }
+        if (random_below(4) == 0)
+        {
+            // Workers of the first rack may drain; the others must be able to take all units.
+            step.required_label = "rack" + std::to_string(1 + random_below(3));
+            step.units = std::min<std::int64_t>(step.units, 3);
+        }
+        job_truth truth{{length * (2 + random_below(4)) / 3}, random_below(12) == 0};
+        batch::job_spec job = one_step_job("job" + std::to_string(number),
+                                           organisations[static_cast<std::size_t>(random_below(4))],
+                                           queue_with(random_below(3)), step);
+        const std::int64_t kind = random_below(8);
+        if (kind == 0)
+        {
+            job.occurrences = 3;
+            job.first_due = at + milliseconds{random_below(4000)};
+            job.interval = milliseconds{3000};
+        }
+        else if (kind == 1)
+        {
+            job.steps[0].long_running = true;
+            job.steps[0].gang = false;
+            job.steps[0].rack_local = false;
+            job.steps[0].per_unit = {1000, 4000, random_below(2)};
+            truth = {{std::chrono::hours{2}}};
+        }
+        else if (kind < 4)
+        {
+            batch::step_spec second =
+                step_of(1 + random_below(3), 1 << random_below(4), length / 2);
+            second.depends_on = {0};
+            second.gang = random_below(2) == 0;
+            job.steps.push_back(second);
+            truth.durations.push_back(length / 2);
+        }
+        const core::job_id id = job.id;
+        const bool long_running = job.steps[0].long_running;
+        site.submit(at, std::move(job), truth);
+        if (long_running)
+        {
+            site.cancel(at + span, id);
+        }
+        else if (random_below(15) == 0)
+        {
+            site.cancel(at + milliseconds{random_below(4000)}, id);
+        }
+    }
+}
+
+/// Injects faults of all kinds at random times up to @p until.
+void add_mixed_faults(virtual_site& site, int faults, milliseconds until)
+{
+    auto& random = site.random();
+    const auto random_below = [&random](std::int64_t below)
+    { return static_cast<std::int64_t>(random() % static_cast<std::uint32_t>(below)); };
+    for (int number = 0; number < faults; ++number)
+    {
+        const milliseconds at{3000 + random_below(until.count() - 3000)};
+        const milliseconds length{200 + random_below(6000)};
+        const auto worker = static_cast<int>(random_below(12));
+        switch (random_below(9))
+        {
+        case 0:
+            site.cut(at, worker, length);
+            break;
+        case 1:
+            site.reboot(at, worker);
+            break;
+        case 2:
+            site.restart_agent(at, worker);
+            break;
+        case 3:
+            site.replace_leader(at, length / 4);
+            break;
+        case 4:
+            site.fail_all(at, worker, length);
+            break;
+        case 5:
+            site.hang(at, worker, length / 2);
+            break;
+        case 6:
+            site.delay_starts(at, 0.3, length);
+            break;
+        case 7:
+            site.drain(at, static_cast<int>(random_below(2)));
+            break;
+        default:
+            site.store_out(at, length / 2);
+            break;
+        }
+    }
+}
+
 TEST_CASE("a site without faults completes every job")
 {
     virtual_site site(1);
@@ -669,4 +784,31 @@
     CHECK(completed_jobs(site) == 24);
 }
 
+// Guards against LOST: a job stood still on a calm site.
+TEST_CASE("no job stands still on a calm site that has room for it")
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed)
+    {
+        CAPTURE(seed);
+        virtual_site site(seed);
+        add_varied_load(site, 30 + static_cast<int>(seed % 4) * 20, seconds{40});
+        site.play(seconds{400});
+        check_no_violations(site);
+    }
+}
+
+// Guards against LOST: a job stood still on a site that had become calm after faults.
+TEST_CASE("no job stands still on a site that has become calm after faults")
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed)
+    {
+        CAPTURE(seed);
+        virtual_site site(seed);
+        add_varied_load(site, 60, seconds{40});
+        add_mixed_faults(site, 2 + static_cast<int>(seed % 6), seconds{18});
+        site.play(seconds{400});
+        check_no_violations(site);
+    }
+}
+
 } // namespace
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -24,6 +24,14 @@
 constexpr milliseconds tick_interval{200};
 constexpr double thousand = 1000.0;
 constexpr std::int64_t core_share = 8;
+constexpr milliseconds watch_interval{200};
+// A job must not stand still for this long on a site that has been calm that long and the time
+// before.
+constexpr milliseconds max_standstill{3000};
+constexpr milliseconds calm_before_standstill{4000};
+// Time after the last run of a long-running unit from which its standstill counts.
+constexpr milliseconds long_running_grace{6000};
+constexpr milliseconds hung_duration = std::chrono::hours{1};
 
 std::size_t at(std::int64_t index)
 {
@@ -91,6 +99,15 @@
     std::set<unit_key> forgotten;
     std::map<unit_key, int> failures;
     std::set<unit_key> started;
+    std::map<unit_key, instant> last_ended;
+    std::string last_wait;
+};
+
+/// What a job, or one long-running unit of it, has waited for without a run.
+struct standstill
+{
+    instant since{};
+    bool reported = false;
 };
 
 } // namespace
@@ -122,6 +139,7 @@
                         [this, index] { this->look_loop(index); });
         }
         this->after(tick_interval, [this] { this->tick(); });
+        this->after(watch_interval, [this] { this->watch(); });
     }
 
     void after(milliseconds delay, std::function<void()> what)
@@ -149,6 +167,189 @@
                                    " ms: " + what);
     }
 
+    /// The site is not calm until then.
+    void disturb(instant until) { this->disturbed_until = std::max(this->disturbed_until, until); }
+
+    // ---- jobs that stand still ----
+
+    /// Finds jobs of which nothing runs although a unit's turn has come and there is room.
+    void watch()
+    {
+        this->after(watch_interval, [this] { this->watch(); });
+        std::set<core::job_id> running_jobs;
+        std::set<unit_key> running;
+        for (const virtual_worker& worker : this->workers)
+        {
+            for (const auto& [key, run] : worker.runs)
+            {
+                running_jobs.insert(run.unit.job);
+                running.insert(run.unit);
+                if (run.needed >= hung_duration && !this->step_of(run.unit).long_running)
+                {
+                    this->disturb(this->now);
+                }
+            }
+        }
+        std::map<unit_key, standstill> standing;
+        const bool half_in_use = this->is_half_in_use();
+        for (const auto& [id, job] : this->jobs)
+        {
+            if (!job.accepted || job.cancelled || half_in_use ||
+                this->results[id].ended.has_value() || this->has_used_up_attempts(job))
+            {
+                continue;
+            }
+            for (const unit_key& unit : this->ready_units(job))
+            {
+                const batch::step_spec& step = this->step_of(unit);
+                if (step.long_running ? running.contains(unit) || this->has_just_run(job, unit)
+                                      : running_jobs.contains(id))
+                {
+                    continue;
+                }
+                if (!this->has_room_twice_over(step))
+                {
+                    continue;
+                }
+                // A job that is not long-running stands still as a whole.
+                const unit_key key = step.long_running ? unit : unit_key{id, -1, -1, -1};
+                const auto known = this->standstills.find(key);
+                standstill& here = standing
+                                       .emplace(key, known == this->standstills.end()
+                                                         ? standstill{this->now, false}
+                                                         : known->second)
+                                       .first->second;
+                if (!here.reported && this->now - here.since >= max_standstill &&
+                    this->now - this->disturbed_until >= max_standstill + calm_before_standstill)
+                {
+                    here.reported = true;
+                    this->broken(batch::to_text(unit) + " stands still since " +
+                                 std::to_string(here.since.time_since_epoch().count()) +
+                                 " ms though there is room; " + job.last_wait);
+                }
+            }
+        }
+        this->standstills = std::move(standing);
+    }
+
+    [[nodiscard]] const batch::step_spec& step_of(const unit_key& unit) const
+    {
+        return this->jobs.at(unit.job).spec.steps[at(unit.step)];
+    }
+
+    [[nodiscard]] bool has_just_run(const known_job& job, const unit_key& unit) const
+    {
+        const auto ended = job.last_ended.find(unit);
+        return ended != job.last_ended.end() && this->now - ended->second < long_running_grace;
+    }
+
+    [[nodiscard]] bool has_used_up_attempts(const known_job& job) const
+    {
+        std::map<unit_key, std::int64_t> failures;
+        for (const auto& [unit, count] : job.failures)
+        {
+            const batch::step_spec& step = job.spec.steps[at(unit.step)];
+            unit_key key = unit;
+            key.index = step.gang ? 0 : key.index;
+            failures[key] += step.long_running ? 0 : count;
+        }
+        return std::any_of(failures.begin(), failures.end(),
+                           [&job](const auto& each)
+                           { return each.second >= job.spec.policy.max_attempts; });
+    }
+
+    /// @return the job's units whose turn has come, of each gang the first.
+    [[nodiscard]] std::vector<unit_key> ready_units(const known_job& job) const
+    {
+        std::vector<unit_key> ready;
+        for (std::int64_t occurrence = 0; occurrence < job.spec.occurrence_count(); ++occurrence)
+        {
+            if (job.spec.occurrences > 0 &&
+                job.spec.first_due + job.spec.interval * occurrence > this->now.time_since_epoch())
+            {
+                break;
+            }
+            const auto is_done = [&job, occurrence](std::int64_t step)
+            {
+                for (std::int64_t unit = 0; unit < job.spec.steps[at(step)].units; ++unit)
+                {
+                    if (!job.done.contains({job.spec.id, occurrence, step, unit}))
+                    {
+                        return false;
+                    }
+                }
+                return true;
+            };
+            for (std::size_t index = 0; index < job.spec.steps.size(); ++index)
+            {
+                const batch::step_spec& step = job.spec.steps[index];
+                if (!std::all_of(step.depends_on.begin(), step.depends_on.end(), is_done))
+                {
+                    continue;
+                }
+                for (std::int64_t unit = 0; unit < (step.gang ? 1 : step.units); ++unit)
+                {
+                    const unit_key key{job.spec.id, occurrence, static_cast<std::int64_t>(index),
+                                       unit};
+                    if (!job.done.contains(key))
+                    {
+                        ready.push_back(key);
+                    }
+                }
+            }
+        }
+        return ready;
+    }
+
+    [[nodiscard]] batch::resource_amount used_on(const virtual_worker& worker) const
+    {
+        batch::resource_amount used;
+        for (const auto& [key, run] : worker.runs)
+        {
+            used += this->step_of(run.unit).resource_request();
+        }
+        return used;
+    }
+
+    [[nodiscard]] bool is_half_in_use() const
+    {
+        batch::resource_amount used;
+        batch::resource_amount capacity;
+        for (const virtual_worker& worker : this->workers)
+        {
+            used += this->used_on(worker);
+            capacity += worker.info.draining ? batch::resource_amount{} : worker.info.capacity;
+        }
+        const auto cores = [](const batch::resource_amount& amount)
+        { return amount.millicores + amount.accelerators * core_share * 1000; };
+        return 2 * cores(used) >= cores(capacity);
+    }
+
+    [[nodiscard]] bool has_room_twice_over(const batch::step_spec& step) const
+    {
+        const std::int64_t wanted = 2 * (step.gang ? step.units : 1);
+        std::int64_t fitting = 0;
+        for (const virtual_worker& worker : this->workers)
+        {
+            const auto& labels = worker.info.labels;
+            if (worker.info.draining ||
+                (!step.required_label.empty() &&
+                 std::find(labels.begin(), labels.end(), step.required_label) == labels.end()))
+            {
+                continue;
+            }
+            batch::resource_amount free = worker.info.capacity;
+            free -= this->used_on(worker);
+            const std::int64_t fits_here = batch::fit_count(step.resource_request(), free, wanted);
+            const auto here = std::count_if(worker.runs.begin(), worker.runs.end(),
+                                            [this, &step](const auto& run)
+                                            { return &this->step_of(run.second.unit) == &step; });
+            fitting += step.max_per_worker > 0 ? std::min(fits_here, step.max_per_worker - here)
+                                               : fits_here;
+        }
+        return fitting >= wanted;
+    }
+
     double chance() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
 
     // ---- the lead ----
@@ -259,6 +460,11 @@
         for (const batch::decision_record& record : this->scheduler->take_records())
         {
             ++this->decision_counts[std::string(record.event)];
+            const auto job = this->jobs.find(record.job);
+            if (record.event == "job_waiting" && job != this->jobs.end())
+            {
+                job->second.last_wait = std::string(record.reason) + " " + record.detail;
+            }
         }
         this->write();
     }
@@ -376,6 +582,7 @@
         {
             // No answer now; carried out later, if its lease still allows.
             const milliseconds late{2000 + static_cast<std::int64_t>(this->chance() * 8000)};
+            this->disturb(this->now + late);
             this->after(
                 late,
                 [this, index, action, until, epoch = worker.epoch, born = worker.info.started_at]
@@ -776,7 +983,7 @@
         run.began = this->now;
         if (this->workers[index].hangs_until > this->now)
         {
-            run.needed = std::chrono::hours{1};
+            run.needed = hung_duration;
         }
         const known_job& job = this->jobs.at(run.unit.job);
         const bool fails = job.truth.poison || this->workers[index].fails_until > this->now;
@@ -802,7 +1009,7 @@
             return run.before;
         }
         const milliseconds worked = this->now - run.began;
-        return run.needed >= std::chrono::hours{1} ? run.before : run.before + worked;
+        return run.needed >= hung_duration ? run.before : run.before + worked;
     }
 
     [[nodiscard]] std::string saved_of(const live_run& run, bool at_stop) const
@@ -852,6 +1059,7 @@
         const batch::step_spec& step = job.spec.steps[at(run.unit.step)];
         const std::string saved = this->saved_of(run, kind == run_outcome::stopped);
         worker.runs.erase(key);
+        job.last_ended[run.unit] = this->now;
         run_number& barred = worker.barred[key.first];
         barred = std::max(barred, key.second);
         worker.ends.push_back({worker.next_end++, run.unit, run.run, kind, saved, ""});
@@ -917,6 +1125,7 @@
         {
             const auto key = worker.runs.begin()->first;
             const bool gang = worker.runs.begin()->second.gang;
+            this->jobs.at(key.first.job).last_ended[key.first] = this->now;
             worker.runs.erase(worker.runs.begin());
             if (gang)
             {
@@ -953,6 +1162,8 @@
     std::map<core::job_id, job_result> results;
     std::map<std::string, int> decision_counts;
     std::vector<std::string> violations;
+    std::map<unit_key, standstill> standstills;
+    instant disturbed_until{};
     instant delay_until{};
     double delay_share{};
     std::uint64_t next_token{};
@@ -1019,15 +1230,23 @@
 
 void virtual_site::cut(core::milliseconds at, int worker, core::milliseconds length)
 {
-    this->inner->events.emplace(
-        core::instant_at(at), [self = this->inner.get(), worker, length]
-        { self->workers[testing::at(worker)].cut_until = self->now + length; });
+    this->inner->events.emplace(core::instant_at(at),
+                                [self = this->inner.get(), worker, length]
+                                {
+                                    self->disturb(self->now + length);
+                                    self->workers[testing::at(worker)].cut_until =
+                                        self->now + length;
+                                });
 }
 
 void virtual_site::reboot(core::milliseconds at, int worker)
 {
-    this->inner->events.emplace(core::instant_at(at), [self = this->inner.get(), worker]
-                                { self->reboot(testing::at(worker)); });
+    this->inner->events.emplace(core::instant_at(at),
+                                [self = this->inner.get(), worker]
+                                {
+                                    self->disturb(self->now);
+                                    self->reboot(testing::at(worker));
+                                });
 }
 
 void virtual_site::restart_agent(core::milliseconds at, int worker)
@@ -1036,6 +1255,7 @@
                                 [self = this->inner.get(), worker]
                                 {
                                     virtual_worker& one = self->workers[testing::at(worker)];
+                                    self->disturb(self->now);
                                     ++one.agent_life;
                                     one.table = std::make_unique<batch::run_table>();
                                     one.lease = batch::worker_lease(self->shape.lease);
@@ -1055,23 +1275,40 @@
                                 {
                                     const std::uint64_t next = self->epoch + 1;
                                     self->epoch = next;
+                                    self->disturb(self->now + gap);
                                     self->scheduler.reset();
-                                    self->after(gap, [self, next] { self->begin_lead(next); });
+                                    self->after(gap,
+                                                [self, next]
+                                                {
+                                                    // Unless yet another has taken over by then.
+                                                    if (self->epoch == next)
+                                                    {
+                                                        self->begin_lead(next);
+                                                    }
+                                                });
                                 });
 }
 
 void virtual_site::fail_all(core::milliseconds at, int worker, core::milliseconds length)
 {
-    this->inner->events.emplace(
-        core::instant_at(at), [self = this->inner.get(), worker, length]
-        { self->workers[testing::at(worker)].fails_until = self->now + length; });
+    this->inner->events.emplace(core::instant_at(at),
+                                [self = this->inner.get(), worker, length]
+                                {
+                                    self->disturb(self->now + length);
+                                    self->workers[testing::at(worker)].fails_until =
+                                        self->now + length;
+                                });
 }
 
 void virtual_site::hang(core::milliseconds at, int worker, core::milliseconds length)
 {
-    this->inner->events.emplace(
-        core::instant_at(at), [self = this->inner.get(), worker, length]
-        { self->workers[testing::at(worker)].hangs_until = self->now + length; });
+    this->inner->events.emplace(core::instant_at(at),
+                                [self = this->inner.get(), worker, length]
+                                {
+                                    self->disturb(self->now + length);
+                                    self->workers[testing::at(worker)].hangs_until =
+                                        self->now + length;
+                                });
 }
 
 void virtual_site::delay_starts(core::milliseconds at, double share, core::milliseconds length)
@@ -1079,6 +1316,7 @@
     this->inner->events.emplace(core::instant_at(at),
                                 [self = this->inner.get(), share, length]
                                 {
+                                    self->disturb(self->now + length);
                                     self->delay_share = share;
                                     self->delay_until = self->now + length;
                                 });
@@ -1089,6 +1327,7 @@
     this->inner->events.emplace(core::instant_at(at),
                                 [self = this->inner.get(), worker]
                                 {
+                                    self->disturb(self->now);
                                     self->workers[testing::at(worker)].info.draining = true;
                                     self->report_soon(testing::at(worker));
                                 });
@@ -1099,6 +1338,7 @@
     this->inner->events.emplace(core::instant_at(at),
                                 [self = this->inner.get(), length]
                                 {
+                                    self->disturb(self->now + length);
                                     self->out_since = self->now;
                                     self->out_until = self->now + length;
                                 });
