Keep one way to give up starts on draining workers

Two fixes of the same fault met: stops as soon as a draining worker's complete lists lack the run, and stops after the interval for repeating the order. The first acts sooner and on evidence; it now covers agents that stop, too, and the second is gone. Both tests hold: batch_takeover_test, "a unit that has not started on a worker that begins to drain is placed elsewhere", and batch_site_test, "a unit whose worker begins to drain before the start is placed elsewhere".

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -46,7 +46,8 @@
     void handle_missing_runs(worker_state& worker,
                              const std::set<std::pair<run_number, std::int64_t>>& listed,
                              bool restarted, core::instant now);
-    /// Stops the runs that a draining worker has not started, so that they are placed elsewhere.
+    /// Stops the runs that a worker has not started and will not start, since it drains or its
+    /// agent stops, so that they are placed elsewhere.
     void stop_unstarted_runs(const worker_state& worker,
                              const std::set<std::pair<run_number, std::int64_t>>& listed);
     void mark_reconciled(worker_state& worker);
@@ -82,8 +83,6 @@
     void expire_worker_leases(core::instant now);
     void stop_stalled_runs(core::instant now);
     void stop_incomplete_gangs(core::instant now);
-    /// Stops runs with a start that is not carried out because the worker drains.
-    void stop_refused_starts(core::instant now);
     void create_due_occurrences(job_state& job, unix_time wall_time);
     std::vector<placement_group> ready_groups(core::instant now, unix_time wall_time);
     void compute_rank(placement_group& group, core::instant now) const;
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -43,7 +43,6 @@
     this->expire_worker_leases(now);
     this->stop_stalled_runs(now);
     this->stop_incomplete_gangs(now);
-    this->stop_refused_starts(now);
     this->mark_dirty_checkpoints(now);
     std::vector<run_number> ended;
     for (const auto& [number, run] : this->runs)
@@ -149,29 +148,6 @@
     }
 }
 
-void site_scheduler::implementation::stop_refused_starts(core::instant now)
-{
-    for (auto& [number, run] : this->runs)
-    {
-        if (run.stopping || now - run.started_at <= this->settings.command_retry_interval)
-        {
-            continue;
-        }
-        const bool refused =
-            std::any_of(run.members.begin(), run.members.end(),
-                        [this](const run_member_state& member)
-                        {
-                            const worker_state& worker = this->workers.at(member.agent);
-                            return member.command_sent && !member.confirmed && !member.ended &&
-                                   (worker.info.draining || worker.agent_stopping);
-                        });
-        if (refused)
-        {
-            this->stop_run(run, "a worker began to drain before it started its unit");
-        }
-    }
-}
-
 void site_scheduler::implementation::create_due_occurrences(job_state& job, unix_time wall_time)
 {
     for (std::int64_t occurrence = 0; occurrence < job.spec.occurrence_count(); ++occurrence)
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -355,11 +355,11 @@
 void site_scheduler::implementation::stop_unstarted_runs(
     const worker_state& worker, const std::set<std::pair<run_number, std::int64_t>>& listed)
 {
-    if (!worker.info.draining)
+    if (!worker.info.draining && !worker.agent_stopping)
     {
         return;
     }
-    // The agent starts nothing on a draining worker. The stop bars a start that is still under way.
+    // The agent passes no start on any more. The stop bars one that is still under way.
     for (const run_number number : worker.runs)
     {
         run_state& run = this->runs.at(number);
@@ -368,7 +368,8 @@
             if (member.agent == worker.agent && !member.ended && !member.confirmed &&
                 !listed.contains({number, member.index}))
             {
-                this->stop_run(run, "its worker drains and has not started it");
+                this->stop_run(run,
+                               "its worker drains, or the agent stops, and has not started it");
                 break;
             }
         }
