Don't let two leaders count each other's work as ended

What callers saw: TWICE, and often. Half of the agents are cut off from the others for 9 s with their leader and without the store; the store's side elects another. Both go on, and each starts what the other runs.

Cause: two notions of who may lead. An election needs the leader's row, but no majority; a leader that the store does not reach goes on as long as most agents follow it. So both can be in force, and

- the earlier one took agents that it did not hear for lost, and started their units, while the later one renewed their leases;
- the later one gave up the agents that did not report a lease timeout after its election, while the earlier one renewed theirs on the word of its majority, without end.

The class: each leader judged what the other may do by its own evidence.

Now a lease counts as lapsed only if the store had confirmed the leader by its end, or the agent itself reported to this leader since. And the word of most agents alone confirms a leader for no longer than 12 s after the store did (max_unconfirmed_leadership); a leader that most agents do not follow waits that long, and a lease timeout, before it places work. While all agents follow a leader there can be no other, so an outage of the store for all ends no work, however long. The price: work of agents lost during an outage is placed again when the store is back, and a leader that hears no majority places work after 17.6 s, not 5.6 s.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -269,6 +269,10 @@
     /// than the takeover; see takeover_guard::followed_since().
     void count_leases_from(core::instant start);
 
+    /// Sets the time until which no later leader can have renewed a lease. A lease counts as lapsed
+    /// only if it had by then, or by the agent's last report. Without a call that is always now.
+    void confirm_leadership(core::instant until);
+
     /// Applies an agent's report.
     void on_report(const worker_report& report, core::instant now);
     /// Records that a lease renewal was sent to an agent.
--- a/include/chicorylift/batch/takeover_guard.hpp
+++ b/include/chicorylift/batch/takeover_guard.hpp
@@ -56,16 +56,13 @@
     void announce_unpersisted_starts(bool unpersisted);
 
     /// @return whether this leader may place work: the agents that have reported tell what an
-    /// earlier leader may have started, or the lease timeout has passed since it became leader.
-    /// Stays true once it is.
+    /// earlier leader may have started, or the lease timeout has passed since an earlier leader
+    /// that most agents follow must have ended. Stays true once it is.
     [[nodiscard]] bool may_place(core::instant now) const;
-    /// @return when more than half of the agents had reported, or else when this member became
-    ///         leader. An earlier leader may have renewed leases on the word of most agents until
-    ///         then.
-    [[nodiscard]] core::instant followed_since() const noexcept
-    {
-        return this->followed_at.value_or(this->began);
-    }
+    /// @return when more than half of the agents had reported, or else
+    ///         `max_unconfirmed_leadership` after this member became leader. An earlier leader may
+    ///         have renewed leases on the word of most agents until then.
+    [[nodiscard]] core::instant followed_since() const noexcept;
     /// @return whether an earlier leader may have started work without a placement in the store.
     [[nodiscard]] bool predecessor_may_have_unpersisted_runs() const noexcept
     {
--- a/src/batch/leadership_confirmation.cpp
+++ b/src/batch/leadership_confirmation.cpp
@@ -9,13 +9,13 @@
 void leadership_confirmation::add_agent(const agent_id& agent)
 {
     this->followed_at.try_emplace(agent);
-    this->majority_confirmed_at.reset();
+    this->by_agents.reset();
 }
 
 void leadership_confirmation::remove_agent(const agent_id& agent)
 {
     this->followed_at.erase(agent);
-    this->majority_confirmed_at.reset();
+    this->by_agents.reset();
 }
 
 void leadership_confirmation::on_store_confirmed(core::instant requested_at)
@@ -27,7 +27,7 @@
 {
     core::instant& known = this->followed_at[agent];
     known = std::max(known, orders_sent_at);
-    this->majority_confirmed_at.reset();
+    this->by_agents.reset();
 }
 
 core::instant leadership_confirmation::confirmed_at() const
@@ -36,20 +36,21 @@
     {
         return this->store_confirmed_at;
     }
-    if (this->majority_confirmed_at.has_value())
+    if (!this->by_agents.has_value())
     {
-        return std::max(this->store_confirmed_at, *this->majority_confirmed_at);
+        std::vector<core::instant> times;
+        times.reserve(this->followed_at.size());
+        for (const auto& [agent, time] : this->followed_at)
+        {
+            times.push_back(time);
+        }
+        const auto majority = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+        std::nth_element(times.begin(), majority, times.end(), std::greater<>{});
+        this->by_agents = {*majority, *std::min_element(majority, times.end())};
     }
-    std::vector<core::instant> times;
-    times.reserve(this->followed_at.size());
-    for (const auto& [agent, time] : this->followed_at)
-    {
-        times.push_back(time);
-    }
-    const auto majority = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), majority, times.end(), std::greater<>{});
-    this->majority_confirmed_at = *majority;
-    return std::max(this->store_confirmed_at, *majority);
+    const core::instant by_majority =
+        std::min(this->by_agents->majority, this->store_confirmed_at + max_unconfirmed_leadership);
+    return std::max({this->store_confirmed_at, by_majority, this->by_agents->all});
 }
 
 } // namespace chicorylift::batch
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -216,6 +216,11 @@
     this->inner->leases_counted_from = std::max(this->inner->leases_counted_from, start);
 }
 
+void site_scheduler::confirm_leadership(core::instant until)
+{
+    this->inner->confirmed_until = until;
+}
+
 void site_scheduler::on_report(const worker_report& report, core::instant now)
 {
     this->inner->on_report(report, now);
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -191,6 +191,8 @@
     core::instant takeover;
     /// Leases of agents that have not reported are counted from here.
     core::instant leases_counted_from;
+    /// See site_scheduler::confirm_leadership().
+    std::optional<core::instant> confirmed_until;
     std::uint64_t next_run = 1;
     bool assume_unreported_runs = false;
     std::map<queue_id, queue_policy> queues;
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -86,7 +86,11 @@
     for (auto& [id, worker] : this->workers)
     {
         const core::instant since = std::max(worker.last_renewal_at, this->leases_counted_from);
-        if (!worker.lost && now - since > this->settings.lease_timeout)
+        // An agent that reports to this leader follows no other. One that does not may follow a
+        // later leader, which renews its lease.
+        const core::instant known_until =
+            std::max(this->confirmed_until.value_or(now), worker.last_report_at);
+        if (!worker.lost && known_until - since > this->settings.lease_timeout)
         {
             this->mark_worker_lost(worker, "its lease has lapsed", now);
         }
--- a/src/batch/takeover_guard.cpp
+++ b/src/batch/takeover_guard.cpp
@@ -1,5 +1,7 @@
 #include "chicorylift/batch/takeover_guard.hpp"
 
+#include "chicorylift/batch/leadership_confirmation.hpp"
+
 #include <algorithm>
 
 namespace chicorylift::batch
@@ -82,11 +84,17 @@
     this->announcing = unpersisted;
 }
 
+core::instant takeover_guard::followed_since() const noexcept
+{
+    return this->followed_at.value_or(this->began + max_unconfirmed_leadership);
+}
+
 bool takeover_guard::may_place(core::instant now) const
 {
     if (!this->may_place_latched)
     {
-        this->may_place_latched = now - this->began > this->lease_timeout;
+        this->may_place_latched =
+            now - this->began > max_unconfirmed_leadership + this->lease_timeout;
     }
     return this->may_place_latched;
 }
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -28,6 +28,8 @@
 constexpr core::milliseconds leader_wait{500};
 constexpr core::milliseconds member_wait{8000};
 constexpr core::milliseconds write_timeout{800};
+// The leader's row was written at most this long before its epoch begins.
+constexpr core::milliseconds row_write_timeout{800};
 // Agents whose report is overdue by this time are sent a message, so that a restarted agent finds
 // its leader.
 constexpr core::milliseconds silence_margin{300};
@@ -79,6 +81,7 @@
       began(core::boot_clock::now()), last_tick(this->began)
 {
     this->guard.await_members();
+    this->confirmation.on_store_confirmed(this->began - row_write_timeout);
     this->member_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
         mirror_settings{member_table, site_partition, member_wait},
@@ -362,6 +365,7 @@
         return;
     }
     this->scheduler.count_leases_from(this->guard.followed_since());
+    this->scheduler.confirm_leadership(this->confirmation.store_confirmed());
     const support::stopwatch watch(this->work.pass_time);
     const std::vector<batch::agent_command> orders =
         this->scheduler.schedule(now, support::unix_now(), this->may_start_unpersisted());
