Start jobs newer than the known leader row only once written

The successor does not wait for such starts of jobs newer than its own row.

Cause: job_origin::this_leader rests on the earlier leader finding the later one's row no later than the job. The two are followed by separate calls, whose answers overtake each other.

A leader now starts units of a job before their agents are written only if the leader's row was seen unchanged at the job's version of the store, or a later one.

Test: batch_takeover_test, "a job accepted since the leader's row was last seen starts only once that is settled"; it needs the new calls, so that it was not seen to fail on the code before.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -252,8 +252,11 @@
     void set_policies(std::map<queue_id, queue_policy> queues,
                       std::map<core::organisation_id, std::int64_t> guaranteed);
     /// Adds an accepted job with its persisted progress; no effect when the job is present.
+    /// @param accepted_version version of the store at which the job was accepted, or a later one;
+    ///        see confirm_version().
     void add_job(job_spec job, const job_progress& progress, bool cancelled, core::instant now,
-                 job_origin origin = job_origin::earlier_leader);
+                 job_origin origin = job_origin::earlier_leader,
+                 std::uint64_t accepted_version = 0);
     /// Stops a job's units and starts no more.
     void cancel_job(const core::job_id& job);
     /// Removes an ended job.
@@ -273,6 +276,12 @@
     /// only if it had by then, or by the agent's last report. Without a call that is always now.
     void confirm_leadership(core::instant until);
 
+    /// Sets the version of the store up to which no later leader's row was written. Units of jobs
+    /// that were accepted in a later version start only once their agents are persisted: a later
+    /// leader does not expect an earlier one to know these jobs. Without a call that holds for
+    /// none.
+    void confirm_version(std::uint64_t version);
+
     /// Applies an agent's report.
     void on_report(const worker_report& report, core::instant now);
     /// Records that a lease renewal was sent to an agent.
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -130,7 +130,7 @@
 }
 
 void site_scheduler::add_job(job_spec spec, const job_progress& progress, bool cancelled,
-                             core::instant now, job_origin origin)
+                             core::instant now, job_origin origin, std::uint64_t accepted_version)
 {
     const auto [found, inserted] = this->inner->jobs.try_emplace(spec.id);
     if (!inserted)
@@ -143,6 +143,7 @@
     job.policy = queue == this->inner->queues.end() ? job.spec.policy : queue->second;
     job.arrived = now;
     job.origin = origin;
+    job.accepted_version = accepted_version;
     job.outcome = progress.outcome;
     job.cancelled = cancelled;
     job.persisted_agents = progress.agents;
@@ -221,6 +222,11 @@
     this->inner->confirmed_until = until;
 }
 
+void site_scheduler::confirm_version(std::uint64_t version)
+{
+    this->inner->confirmed_version = version;
+}
+
 void site_scheduler::on_report(const worker_report& report, core::instant now)
 {
     this->inner->on_report(report, now);
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -3,6 +3,7 @@
 #include "batch/placement.hpp"
 #include "batch/site_state.hpp"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -135,6 +136,9 @@
                    core::instant now);
     /// Records that an agent's worker may run a unit of the job.
     void add_job_agent(job_state& job, const agent_id& agent);
+    /// @return whether the job's units may start before their agents are persisted.
+    [[nodiscard]] bool may_start_unpersisted(const job_state& job,
+                                             bool allow_unpersisted_starts) const noexcept;
     void issue_commands(std::vector<agent_command>& commands, core::instant now,
                         bool allow_unpersisted_starts);
     [[nodiscard]] std::vector<candidate_worker>
@@ -193,6 +197,8 @@
     core::instant leases_counted_from;
     /// See site_scheduler::confirm_leadership().
     std::optional<core::instant> confirmed_until;
+    /// See site_scheduler::confirm_version().
+    std::uint64_t confirmed_version = std::numeric_limits<std::uint64_t>::max();
     std::uint64_t next_run = 1;
     bool assume_unreported_runs = false;
     std::map<queue_id, queue_policy> queues;
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -535,6 +535,12 @@
     this->runs.emplace(number, std::move(run));
 }
 
+bool site_scheduler::implementation::may_start_unpersisted(
+    const job_state& job, bool allow_unpersisted_starts) const noexcept
+{
+    return allow_unpersisted_starts && job.accepted_version <= this->confirmed_version;
+}
+
 void site_scheduler::implementation::issue_commands(std::vector<agent_command>& commands,
                                                     core::instant now,
                                                     bool allow_unpersisted_starts)
@@ -542,7 +548,8 @@
     for (auto& [number, run] : this->runs)
     {
         const auto job = this->jobs.find(run.job);
-        if (!run.stopping && job != this->jobs.end() && !allow_unpersisted_starts)
+        if (!run.stopping && job != this->jobs.end() &&
+            !this->may_start_unpersisted(job->second, allow_unpersisted_starts))
         {
             const auto& persisted = job->second.persisted_agents;
             // A start waits until the agents of all members are persisted: a later leader must
--- a/src/batch/scheduler_waits.cpp
+++ b/src/batch/scheduler_waits.cpp
@@ -179,7 +179,9 @@
     const bool persisted = std::all_of(run.members.begin(), run.members.end(),
                                        [&job](const run_member_state& member)
                                        { return job.persisted_agents.contains(member.agent); });
-    return persisted || allow_unpersisted_starts ? "start not confirmed" : "store write";
+    return persisted || this->may_start_unpersisted(job, allow_unpersisted_starts)
+               ? "start not confirmed"
+               : "store write";
 }
 
 std::string_view site_scheduler::implementation::explain_group(const placement_group& group,
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -74,6 +74,7 @@
     std::map<std::int64_t, std::vector<step_state>> occurrences;
     core::instant arrived{};
     job_origin origin = job_origin::earlier_leader;
+    std::uint64_t accepted_version{};
     job_outcome outcome = job_outcome::unfinished;
     bool cancelled = false;
     /// Members of `agents` that are persisted.
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -82,6 +82,7 @@
 {
     this->guard.await_members();
     this->confirmation.on_store_confirmed(this->began - row_write_timeout);
+    this->scheduler.confirm_version(row_version);
     this->member_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
         mirror_settings{member_table, site_partition, member_wait},
@@ -101,7 +102,11 @@
         this->context.loop, this->context.store,
         mirror_settings{leader_table, site_partition, leader_wait},
         [this](const ports::row& row) { this->on_leader_row(row); },
-        [this] { this->confirmation.on_store_confirmed(this->leader_rows->confirmed_at()); });
+        [this]
+        {
+            this->confirmation.on_store_confirmed(this->leader_rows->confirmed_at());
+            this->scheduler.confirm_version(this->leader_rows->version());
+        });
     const std::weak_ptr<bool> alive = this->lifetime_token;
     this->context.loop.run_after(tick_interval,
                                  [this, alive]
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -146,7 +146,8 @@
     this->scheduler.add_job(from_row(*stored), {}, this->cancel_rows.contains(id),
                             this->context.loop.now(),
                             row.version > this->row_version ? batch::job_origin::this_leader
-                                                            : batch::job_origin::earlier_leader);
+                                                            : batch::job_origin::earlier_leader,
+                            row.version);
     events::write("job_known",
                   {{"job", id.str()},
                    {"queue", stored->terms().queue()},
@@ -177,7 +178,8 @@
         const bool cancelled =
             this->cancel_rows.contains(id) && progress.outcome == batch::job_outcome::unfinished;
         open_jobs += progress.outcome == batch::job_outcome::unfinished && !cancelled ? 1 : 0;
-        this->scheduler.add_job(from_row(stored), progress, cancelled, this->context.loop.now());
+        this->scheduler.add_job(from_row(stored), progress, cancelled, this->context.loop.now(),
+                                batch::job_origin::earlier_leader, this->job_rows->version());
     }
     events::write("lead_taken",
                   {{"epoch", this->my_epoch},
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -257,6 +257,11 @@
                                                          : now - this->inner->failing_since;
 }
 
+ports::revision mirrored_table::version() const noexcept
+{
+    return this->inner->newest;
+}
+
 ports::revision mirrored_table::version_of(const std::string& key) const
 {
     const auto found = this->inner->versions.find(key);
--- a/src/site/mirrored_table.hpp
+++ b/src/site/mirrored_table.hpp
@@ -45,6 +45,8 @@
     [[nodiscard]] core::instant last_answer_at() const noexcept;
     /// @return time since the first failure after the last success; 0 while calls succeed.
     [[nodiscard]] core::milliseconds failing_for(core::instant now) const noexcept;
+    /// @return the version of the table service up to which the rows are known.
+    [[nodiscard]] ports::revision version() const noexcept;
     /// @return the version of a row, or 0 if it does not exist.
     [[nodiscard]] ports::revision version_of(const std::string& key) const;
     /// Records the version of a row that this process has written, before the watch reports it.
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -237,6 +237,31 @@
     }
 }
 
+// Guards against TWICE: when the store is back, the old leader may read a job before the row of the
+// leader that has replaced it, and that leader does not wait for starts of jobs newer than its row.
+TEST_CASE("a job accepted since the leader's row was last seen starts only once that is settled")
+{
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    scheduler.confirm_version(58);
+    scheduler.on_report(report_of("a"), instant_at(milliseconds{10'010}));
+    scheduler.on_renewal_sent(agent_id("a"), instant_at(milliseconds{10'010}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'020}),
+                      job_origin::this_leader, 61);
+    CHECK(scheduler.schedule(instant_at(milliseconds{10'030}), {}, true).empty());
+    CHECK(scheduler.due_commands(instant_at(milliseconds{10'040}), true).empty());
+    SUBCASE("or its agent is written")
+    {
+        const core::job_id job("j");
+        scheduler.on_persisted(job, scheduler.unpersisted_version(job));
+        CHECK(scheduler.due_commands(instant_at(milliseconds{10'050}), false).size() == 1);
+    }
+    SUBCASE("or no other row is found")
+    {
+        scheduler.confirm_version(61);
+        CHECK(scheduler.due_commands(instant_at(milliseconds{10'050}), true).size() == 1);
+    }
+}
+
 TEST_CASE("a report that was delayed on its way does not confirm a leader")
 {
     leadership_confirmation confirmation;
