Let a child that is stopped before it becomes its program end silently

A soak that restarts and terminates daemons printed "test case CRASHED: SIGTERM" and went on: on a busy machine the signal came between fork and exec, so the test framework's handler ran in the child and reported for the test, with the parent's unflushed output again. SIGTERM is now blocked over the fork and has its default action in the child.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -32,6 +32,8 @@
     ::dup2(log, STDERR_FILENO);
     // A listener of a stand-in would stay open in the child after the stand-in has closed it.
     ::closefrom(STDERR_FILENO + 1);
+    // The test's own handlers aren't for a child that is ended before it becomes the program.
+    std::signal(SIGTERM, SIG_DFL);
     sigset_t none;
     sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
@@ -113,11 +115,17 @@
 
 void process::start()
 {
+    sigset_t stops;
+    sigset_t before;
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGTERM);
+    ::pthread_sigmask(SIG_BLOCK, &stops, &before);
     this->pid = ::fork();
     if (this->pid == 0)
     {
         run_child(this->arguments, this->log_path);
     }
+    ::pthread_sigmask(SIG_SETMASK, &before, nullptr);
     if (this->pid < 0)
     {
         throw std::runtime_error("cannot start " + this->arguments.front());
