Have the workers' stand-in list progress, count accelerators and keep all ends

The stand-in listed 50 percent for every run at all times. It now lists the share of the time that a run has worked.

New checks for the soak: a worker over its accelerators is a violation (payloads say "#A"), and the records tell which units are there, what they take, and all good ends.

--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -27,10 +27,23 @@
     std::uint64_t number{};
     std::int64_t duration_ms{};
     int members = 1;
+    std::int64_t accelerators{};
     bool fails = false;
     bool working = false;
     bool stopping = false;
+    std::int64_t working_since{};
     std::uint64_t token{};
+
+    /// @return how much of the work is done, as workers list it.
+    [[nodiscard]] std::int64_t percent() const
+    {
+        constexpr std::int64_t at_most = 99;
+        const std::int64_t worked =
+            core::boot_clock::now().time_since_epoch().count() - this->working_since;
+        return !this->working
+                   ? 0
+                   : std::min(at_most, 100 * worked / std::max<std::int64_t>(1, this->duration_ms));
+    }
 };
 
 struct end
@@ -205,6 +218,17 @@
         }
     }
 
+    /// @return accelerators of the runs that are there, also of those that are being stopped.
+    static std::int64_t in_use(const worker& one)
+    {
+        std::int64_t sum = 0;
+        for (const auto& [unit, each] : one.runs)
+        {
+            sum += each.accelerators;
+        }
+        return sum;
+    }
+
     net::server_response plain(const worker& one, int status, const std::string& reason) const
     {
         Poco::JSON::Object body;
@@ -283,8 +307,15 @@
         fresh.duration_ms = fresh.fails ? 50 : std::stoll(payload);
         const std::size_t slash = payload.find('/');
         fresh.members = slash == std::string::npos ? 1 : std::stoi(payload.substr(slash + 1));
+        const std::size_t mark = payload.find('#');
+        fresh.accelerators = mark == std::string::npos ? 0 : std::stoi(payload.substr(mark + 1));
         fresh.token = ++this->next_token;
         one.runs[unit] = fresh;
+        if (in_use(one) > one.place.accelerators)
+        {
+            this->seen.violations.push_back(unit + " takes " + one.place.id +
+                                            " over its accelerators");
+        }
         ++this->seen.starts[unit];
         this->gather(number, fresh.members);
         this->expire_lonely(one.place.id, unit, fresh.token);
@@ -312,6 +343,7 @@
                 if (each.number == number && !each.working)
                 {
                     each.working = true;
+                    each.working_since = now_ms();
                     this->finish_later(id, unit, each);
                 }
             }
@@ -420,7 +452,7 @@
             row->add(unit);
             row->add(each.number);
             row->add("");
-            row->add(50);
+            row->add(each.percent());
             running->add(row);
         }
         Poco::JSON::Array::Ptr finished(new Poco::JSON::Array);
@@ -470,6 +502,7 @@
         if (how == "done")
         {
             ++this->seen.done[unit];
+            this->seen.ever_done.insert(unit);
         }
         if (ended.members > 1 && how != "done")
         {
@@ -523,12 +556,20 @@
 worker_records site_workers::records() const
 {
     const std::lock_guard lock(this->inner->guard);
-    worker_records copy = this->inner->seen;
+    worker_records records = this->inner->seen;
     for (const auto& [id, one] : this->inner->workers)
     {
-        copy.leases[id] = core::instant_at(core::milliseconds{one.lease_until});
+        records.leases[id] = core::instant_at(core::milliseconds{one.lease_until});
+        if (!one.silent)
+        {
+            records.in_use[id] = implementation::in_use(one);
+        }
+        for (const auto& [unit, each] : one.runs)
+        {
+            records.running.insert(unit);
+        }
     }
-    return copy;
+    return records;
 }
 
 void site_workers::reboot(const std::string& id)
--- a/tests/standins/site_workers.hpp
+++ b/tests/standins/site_workers.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,11 @@
     std::map<std::string, int> starts;
     /// Good ends by unit name.
     std::map<std::string, int> done;
+    /// Units with a good end, also with one that was lost before anybody noted it.
+    std::set<std::string> ever_done;
+    /// Units that are there now, and the accelerators they take by worker that isn't silent.
+    std::set<std::string> running;
+    std::map<std::string, std::int64_t> in_use;
     /// What must never happen, one line each.
     std::vector<std::string> violations;
     /// Until when each worker lets its runs continue, on the boot clock, by worker id.
@@ -43,6 +49,7 @@
 ///
 /// A unit's payload is its duration in milliseconds, or "fail". Gangs work from the moment at
 /// which all of their members are there; the payload then ends in "/N" for N members.
+/// "#A" at the end of a payload is a unit's number of accelerators.
 class site_workers
 {
 public:
