--- a/tests/support/batch_site.cpp
+++ b/tests/support/batch_site.cpp
@@ -43,7 +43,7 @@
 }
 
 batch_site::batch_site(int entry_count, int agent_count,
-                       const std::vector<std::string>& agent_flags)
+                       const std::vector<std::string>& agent_flags, bool relays_store)
     : folder(fresh_folder())
 {
     const std::string store = free_address();
@@ -65,11 +65,17 @@
         one.metrics = free_address();
         one.listen = free_address();
         one.control = place.agent;
-        std::vector<std::string> command{daemon_path(), "batch",     "--role",    "agent",
-                                         "--name",      name,        "--zone",    "z",
-                                         "--region",    "r",         "--listen",  one.listen,
-                                         "--control",   place.agent, "--worker",  place.address,
-                                         "--store",     store,       "--metrics", one.metrics};
+        if (relays_store)
+        {
+            this->store_links.push_back(std::make_unique<relay>(store));
+        }
+        const std::string store_address =
+            relays_store ? this->store_links.back()->address() : store;
+        std::vector<std::string> command{daemon_path(), "batch",       "--role",    "agent",
+                                         "--name",      name,          "--zone",    "z",
+                                         "--region",    "r",           "--listen",  one.listen,
+                                         "--control",   place.agent,   "--worker",  place.address,
+                                         "--store",     store_address, "--metrics", one.metrics};
         command.insert(command.end(), agent_flags.begin(), agent_flags.end());
         one.program = process(command, this->folder + "/" + name + ".log");
         this->agents.push_back(std::move(one));
@@ -94,11 +100,12 @@
 {
     this->entries.clear();
     this->agents.clear();
+    this->store_links.clear();
     this->loop.stop();
     this->thread.join();
     this->machines.reset();
     this->table.reset();
-    if (!keeps_logs())
+    if (!this->keeps && !keeps_logs())
     {
         std::filesystem::remove_all(this->folder);
     }
--- a/tests/support/batch_site.hpp
+++ b/tests/support/batch_site.hpp
@@ -4,6 +4,7 @@
 #include "standins/site_store.hpp"
 #include "standins/site_workers.hpp"
 #include "support/process.hpp"
+#include "support/relay.hpp"
 
 #include <functional>
 #include <memory>
@@ -29,7 +30,9 @@
 {
 public:
     /// @param agent_flags further flags of every agent.
-    batch_site(int entries, int agents, const std::vector<std::string>& agent_flags = {});
+    /// @param relays_store each agent reaches the store through a relay of its own.
+    batch_site(int entries, int agents, const std::vector<std::string>& agent_flags = {},
+               bool relays_store = false);
     ~batch_site();
     batch_site(const batch_site&) = delete;
     batch_site& operator=(const batch_site&) = delete;
@@ -49,6 +52,9 @@
                                       core::milliseconds limit = std::chrono::seconds{30}) const;
     /// @return the index of the agent that leads, or -1; read from the agents' logs.
     [[nodiscard]] int leader() const;
+    /// Keeps the logs when the site ends.
+    void keep_logs() { this->keeps = true; }
+    [[nodiscard]] const std::string& log_folder() const { return this->folder; }
 
     [[nodiscard]] std::string front(int entry) const;
     [[nodiscard]] std::string ready(int entry) const;
@@ -59,6 +65,8 @@
     [[nodiscard]] std::string control(int agent) const;
 
     site_store& store() { return *this->table; }
+    /// @return an agent's way to the store; only with relays.
+    relay& store_link(int index) { return *this->store_links[static_cast<std::size_t>(index)]; }
     site_workers& workers() { return *this->machines; }
     process& entry(int index) { return this->entries[static_cast<std::size_t>(index)].program; }
     process& agent(int index) { return this->agents[static_cast<std::size_t>(index)].program; }
@@ -79,10 +87,12 @@
     };
 
     std::string folder;
+    bool keeps = false;
     net::event_loop loop;
     std::unique_ptr<site_store> table;
     std::unique_ptr<site_workers> machines;
     std::thread thread;
+    std::vector<std::unique_ptr<relay>> store_links;
     std::vector<member> entries;
     std::vector<member> agents;
 };
