Show that jobs stand for good when their worker left and its agent restarted

The soak found it; this case needs no chance: a job runs on all workers, one worker goes silent, its agent and the leader are killed and started again. The new leader waits for the runs of that agent. The agent has never heard its worker, so it does not count it as silent and its reports are answered; each answer renews the lease that would let the leader go on.

--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -291,6 +291,31 @@
     check_units_ran_once(site, 6 * 2 + 2 * 2);
 }
 
+// Guards against LOST: a job waits for an agent that answers while its worker is gone.
+TEST_CASE("jobs of a worker that left run elsewhere after its agent and the leader restarted")
+{
+    constexpr int agents = 4;
+    batch_site site(1, agents);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    REQUIRE(submit(site, 1, job_body("2000", agents, 8, false)) == 200);
+    REQUIRE(batch_site::wait_for(
+        [&] { return static_cast<int>(site.workers().records().starts.size()) == agents; }));
+    const int leader = site.leader();
+    const int left = leader == 0 ? 1 : 0;
+    site.workers().set_silent("i-" + std::to_string(left), true);
+    site.agent(left).kill_now();
+    site.agent(left).restart();
+    site.agent(leader).kill_now();
+    REQUIRE(batch_site::wait_for([&] { return site.leader() != leader; }));
+    site.agent(leader).restart();
+    CHECK(site.wait_for_state(job_name(1), "completed"));
+    for (const std::string& violation : site.workers().records().violations)
+    {
+        FAIL_CHECK(violation);
+    }
+}
+
 TEST_CASE("a leader that resumes after it was replaced starts no work")
 {
     batch_site site(1, 4);
