Count no agents for a leader that has not read its members

What callers may see: TWICE.

Cause: a majority of the agents known so far is not one of the site's. A leader that has not read its members may know only its own agent. (1) After the time-out for a take-over without a majority it took the take-over for settled and told agents so; they passed for informed of their predecessors, and vouched for the absence of unwritten starts that they had forgotten. (2) Cut off, it confirmed itself by its own agent and renewed that lease without end. (3) It had a quorum of one without the store.

Nothing of the three counts before the members are read; until then only the store confirms a leader. The wait for a leader that most agents may follow allows for clocks that are wrong by two percent.

--- a/include/chicorylift/batch/leadership_confirmation.hpp
+++ b/include/chicorylift/batch/leadership_confirmation.hpp
@@ -12,11 +12,14 @@
 /// it. Work outlasts a store outage of this length while some agents are silent, and a leader that
 /// most agents do not follow waits this long before it gives up the work of the others.
 inline constexpr core::milliseconds max_unconfirmed_leadership{12000};
+/// The same on the later leader's clock, when both leaders' clocks are wrong by two percent.
+inline constexpr core::milliseconds unconfirmed_leadership_timeout =
+    max_unconfirmed_leadership * 104 / 100;
 
 /// Tracks when a leader last knew that no later leader was in force.
 ///
 /// A leader that is cut off or paused may renew leases after a later one has taken over. The later
-/// leader counts leases from when most agents followed it, or from `max_unconfirmed_leadership`
+/// leader counts leases from when most agents followed it, or from `unconfirmed_leadership_timeout`
 /// after its takeover. So a lease granted by an earlier leader must end at most its length after
 /// the earlier leader was last confirmed.
 ///
@@ -24,12 +27,17 @@
 class leadership_confirmation
 {
 public:
+    /// Counts no agents until on_members_read(): not all have been added yet.
+    void await_members() noexcept { this->members_known = false; }
+    /// All agents have been added.
+    void on_members_read() noexcept { this->members_known = true; }
     void add_agent(const agent_id& agent);
     void remove_agent(const agent_id& agent);
     /// Handles a read of the store that found the leader's row unchanged.
     /// @param requested_at when the read was sent.
     void on_store_confirmed(core::instant requested_at);
-    /// Handles an agent's report in this leader's epoch.
+    /// Handles an agent's report in this leader's epoch; no effect for an agent that has not been
+    /// added.
     /// @param orders_sent_at when the leader sent the last orders that the agent had received. The
     /// time of the report itself would not do, since a report may be delayed on its way.
     void on_report(const agent_id& agent, core::instant orders_sent_at);
@@ -46,6 +54,7 @@
     }
 
 private:
+    bool members_known = true;
     core::instant store_confirmed_at{};
     std::map<agent_id, core::instant> followed_at;
     /// When agents confirmed the leader.
--- a/include/chicorylift/batch/takeover_guard.hpp
+++ b/include/chicorylift/batch/takeover_guard.hpp
@@ -60,8 +60,8 @@
     /// that most agents follow must have ended. Stays true once it is.
     [[nodiscard]] bool may_place(core::instant now) const;
     /// @return when more than half of the agents had reported, or else
-    ///         `max_unconfirmed_leadership` after this member became leader. An earlier leader may
-    ///         have renewed leases on the word of most agents until then.
+    ///         `unconfirmed_leadership_timeout` after this member became leader. An earlier leader
+    ///         may have renewed leases on the word of most agents until then.
     [[nodiscard]] core::instant followed_since() const noexcept;
     /// @return whether an earlier leader may have started work without a placement in the store.
     [[nodiscard]] bool predecessor_may_have_unpersisted_runs() const noexcept
--- a/src/batch/leadership_confirmation.cpp
+++ b/src/batch/leadership_confirmation.cpp
@@ -25,14 +25,17 @@
 
 void leadership_confirmation::on_report(const agent_id& agent, core::instant orders_sent_at)
 {
-    core::instant& known = this->followed_at[agent];
-    known = std::max(known, orders_sent_at);
-    this->by_agents.reset();
+    const auto known = this->followed_at.find(agent);
+    if (known != this->followed_at.end())
+    {
+        known->second = std::max(known->second, orders_sent_at);
+        this->by_agents.reset();
+    }
 }
 
 core::instant leadership_confirmation::confirmed_at() const
 {
-    if (this->followed_at.empty())
+    if (!this->members_known || this->followed_at.empty())
     {
         return this->store_confirmed_at;
     }
--- a/src/batch/takeover_guard.cpp
+++ b/src/batch/takeover_guard.cpp
@@ -86,7 +86,7 @@
 
 core::instant takeover_guard::followed_since() const noexcept
 {
-    return this->followed_at.value_or(this->began + max_unconfirmed_leadership);
+    return this->followed_at.value_or(this->began + unconfirmed_leadership_timeout);
 }
 
 bool takeover_guard::may_place(core::instant now) const
@@ -94,7 +94,8 @@
     if (!this->may_place_latched)
     {
         this->may_place_latched =
-            now - this->began > max_unconfirmed_leadership + this->lease_timeout;
+            this->members_known &&
+            now - this->began > unconfirmed_leadership_timeout + this->lease_timeout;
     }
     return this->may_place_latched;
 }
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -81,6 +81,7 @@
       began(core::boot_clock::now()), last_tick(this->began)
 {
     this->guard.await_members();
+    this->confirmation.await_members();
     this->confirmation.on_store_confirmed(this->began - row_write_timeout);
     this->scheduler.confirm_version(row_version);
     this->member_rows = std::make_unique<mirrored_table>(
@@ -583,7 +584,7 @@
     {
         responsive += now - state.last_heard < quorum_window ? 1 : 0;
     }
-    return responsive * 2 > this->agents.size();
+    return this->member_rows->is_loaded() && responsive * 2 > this->agents.size();
 }
 
 bool leader::may_issue_orders() const
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -59,6 +59,7 @@
     if (this->member_rows->is_loaded())
     {
         this->guard.on_members_read(core::boot_clock::now());
+        this->confirmation.on_members_read();
         if (this->guard.predecessor_may_have_unpersisted_runs())
         {
             this->scheduler.assume_runs_on_unreported_agents();
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -303,7 +303,7 @@
     {
         guard.add_agent(agent_id(name));
     }
-    CHECK(guard.followed_since() == instant_at(max_unconfirmed_leadership));
+    CHECK(guard.followed_since() == instant_at(unconfirmed_leadership_timeout));
     guard.on_report(agent_id("a"),
                     {.confirmed = false, .earlier_unpersisted = false, .informed = true},
                     instant_at(milliseconds{100}));
@@ -742,4 +742,88 @@
     CHECK(guard.followed_since() == instant_at(milliseconds{100}));
 }
 
+// Guards against TWICE: while the members cannot be read for longer than a lease, agents are told
+// that the takeover is settled and pass for informed.
+TEST_CASE("agents informed by a leader that has not read its members do not vouch for earlier ones")
+{
+    takeover_guard guard(instant_at(milliseconds{0}), milliseconds{5552});
+    guard.await_members();
+    const auto report_all = [&guard](bool informed, milliseconds at)
+    {
+        for (const char* const name : {"own", "a", "b"})
+        {
+            guard.on_report(
+                agent_id(name),
+                {.confirmed = false, .earlier_unpersisted = false, .informed = informed},
+                instant_at(at));
+        }
+    };
+    // The processes of all agents have restarted and forgotten an announcement.
+    report_all(false, milliseconds{100});
+    // Each answer carries may_place() as the word that the takeover is settled.
+    const bool settled = guard.may_place(instant_at(seconds{60}));
+    report_all(settled, milliseconds{60'100});
+    guard.on_members_read(instant_at(seconds{61}));
+    REQUIRE(guard.may_place(instant_at(seconds{61})));
+    CHECK(guard.predecessor_may_have_unpersisted_runs());
+}
+
+// Guards against LOST: each end of a run restarts the time for which the other units of its step
+// have waited, and they wait for their data's rack, or beside spare capacity, without limit.
+TEST_CASE("a unit that waits for its rack is placed though other units of its step end and restart")
+{
+    job_spec job = one_unit_job();
+    step_spec& step = job.steps.front();
+    step.units = 2;
+    step.long_running = true;
+    step.data_rack = "r1";
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    scheduler.add_job(job, {}, false, instant_at(milliseconds{10'000}));
+    worker_report near = report_of("near");
+    near.worker.rack = core::rack_id("r1");
+    worker_report far = report_of("far");
+    far.worker.rack = core::rack_id("r2");
+    far.worker.capacity = {320'000, 1'310'720, 80};
+    bool placed_far = false;
+    std::uint64_t next_end = 1;
+    milliseconds started_at{0};
+    for (milliseconds at{10'010}; at < milliseconds{20'000} && !placed_far; at += milliseconds{100})
+    {
+        near.ends.clear();
+        if (!near.runs.empty() && at - started_at >= milliseconds{1000})
+        {
+            const reported_run run = near.runs.front();
+            near.ends = {{next_end++, run.unit, run.run, run_outcome::succeeded, "", ""}};
+            near.runs.clear();
+        }
+        for (const worker_report& report : {near, far})
+        {
+            scheduler.on_report(report, instant_at(at));
+            scheduler.on_renewal_sent(report.agent, instant_at(at));
+        }
+        for (const agent_command& command :
+             scheduler.schedule(instant_at(at + milliseconds{10}), {}, true))
+        {
+            placed_far = placed_far || command.agent == agent_id("far");
+            if (command.agent == agent_id("near") && near.runs.empty())
+            {
+                near.runs = {{command.unit, command.run, run_phase::running, "", 100}};
+                started_at = at;
+            }
+        }
+    }
+    CHECK(next_end > 1);
+    CHECK(placed_far);
+}
+
+// Guards against TWICE: a leader that is cut off before it has read its members takes its own agent
+// for most agents, and renews its leases while its successor counts them as ended.
+TEST_CASE("agents that report before the members are read do not confirm a leader")
+{
+    leadership_confirmation confirmation;
+    confirmation.on_store_confirmed(instant_at(milliseconds{1000}));
+    confirmation.on_report(agent_id("own"), instant_at(seconds{60}));
+    CHECK(confirmation.confirmed_at() == instant_at(milliseconds{1000}));
+}
+
 } // namespace
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -596,8 +596,10 @@
     half_reporting.on_report(agent_id("a"),
                              {.confirmed = false, .earlier_unpersisted = false, .informed = true},
                              instant_at(milliseconds{50}));
-    CHECK(!half_reporting.may_place(instant_at(max_unconfirmed_leadership + milliseconds{5400})));
-    CHECK(half_reporting.may_place(instant_at(max_unconfirmed_leadership + milliseconds{5600})));
+    CHECK(
+        !half_reporting.may_place(instant_at(unconfirmed_leadership_timeout + milliseconds{5400})));
+    CHECK(
+        half_reporting.may_place(instant_at(unconfirmed_leadership_timeout + milliseconds{5600})));
 }
 
 // Guards against TWICE: agents that have restarted since then know of no announcement.
