Acknowledge no ends of an earlier epoch's reports

An agent that takes this process for the leader of its earlier epoch reports ends that its worker does not list. They were acknowledged, and so forgotten by the agent, though the scheduler does not take lists of an earlier epoch. Seen consequences: none but a checkpoint that is lost; found in review. The next report, of this epoch, has them again.

--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -181,7 +181,7 @@
     state.known_members_version = report.members_version();
     for (const wire::batch_end& end : report.ends())
     {
-        if (end.number() == 0)
+        if (end.number() == 0 && follows)
         {
             state.acknowledged_runs.emplace_back(end.unit(), end.run());
         }
