Log jobs that wait for a silent worker or agent

A run counts as seen now only while its worker answers and its agent reports. Test: batch_takeover_test, "a job whose run is on a silent worker is recorded as waiting".

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -180,6 +180,8 @@
                       bool allow_unpersisted_starts);
     void record_wait(const job_state& job, const wait_cause& cause, core::instant now,
                      bool allow_unpersisted_starts);
+    /// @return whether the member's worker was lately seen to run it.
+    [[nodiscard]] bool is_seen_running(const run_member_state& member, core::instant now) const;
     [[nodiscard]] std::string_view explain_run(const run_state& run, const job_state& job,
                                                bool allow_unpersisted_starts) const;
     [[nodiscard]] std::string_view explain_group(const placement_group& group,
--- a/src/batch/scheduler_waits.cpp
+++ b/src/batch/scheduler_waits.cpp
@@ -18,6 +18,8 @@
 // checks of a second stay below the log's limit for this event.
 constexpr std::size_t max_lines_per_check = 15;
 constexpr std::size_t max_named_agents = 6;
+// An agent that has not reported for this long does not tell whether a run goes on.
+constexpr core::milliseconds max_silence{2500};
 
 std::string ms_text(core::milliseconds time)
 {
@@ -67,9 +69,10 @@
     for (const auto& [number, run] : this->runs)
     {
         const auto job = this->jobs.find(run.job);
-        const bool unconfirmed = std::any_of(run.members.begin(), run.members.end(),
-                                             [](const run_member_state& member)
-                                             { return !member.ended && !member.confirmed; });
+        const bool unconfirmed =
+            std::any_of(run.members.begin(), run.members.end(),
+                        [this, now](const run_member_state& member)
+                        { return !member.ended && !this->is_seen_running(member, now); });
         if (job != this->jobs.end() && job->second.is_active() && (run.stopping || unconfirmed))
         {
             waiting[&job->second].run = &run;
@@ -126,6 +129,14 @@
     }
 }
 
+bool site_scheduler::implementation::is_seen_running(const run_member_state& member,
+                                                     core::instant now) const
+{
+    const worker_state& worker = this->workers.at(member.agent);
+    return member.confirmed && !worker.info.unresponsive &&
+           now - worker.last_report_at < max_silence;
+}
+
 void site_scheduler::implementation::record_wait(const job_state& job, const wait_cause& cause,
                                                  core::instant now, bool allow_unpersisted_starts)
 {
@@ -151,7 +162,7 @@
         counted_list agents;
         for (const run_member_state& member : cause.run->members)
         {
-            if (!member.ended && (cause.run->stopping || !member.confirmed))
+            if (!member.ended && (cause.run->stopping || !this->is_seen_running(member, now)))
             {
                 const worker_state& worker = this->workers.at(member.agent);
                 agents.add(member.agent.str() + " reported " +
@@ -176,6 +187,13 @@
     {
         return "stop not confirmed";
     }
+    const bool confirmed = std::all_of(run.members.begin(), run.members.end(),
+                                       [](const run_member_state& member)
+                                       { return member.ended || member.confirmed; });
+    if (confirmed)
+    {
+        return "worker or agent silent";
+    }
     const bool persisted = std::all_of(run.members.begin(), run.members.end(),
                                        [&job](const run_member_state& member)
                                        { return job.persisted_agents.contains(member.agent); });
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -591,6 +591,27 @@
     CHECK(play(19'010, 27'000, true) == std::vector<std::string>{"start not confirmed"});
 }
 
+TEST_CASE("a job whose run is on a silent worker is recorded as waiting")
+{
+    site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
+    scheduler.add_job(one_unit_job(), {}, false, instant_at(milliseconds{10'000}));
+    worker_report report = report_of("a");
+    scheduler.on_report(report, instant_at(milliseconds{10'010}));
+    const auto started = scheduler.schedule(instant_at(milliseconds{10'020}), {}, true);
+    REQUIRE(started.size() == 1);
+    report.runs = {{started.front().unit, started.front().run, run_phase::running, "", 1}};
+    std::vector<std::string> reasons;
+    for (milliseconds at{10'100}; at < milliseconds{12'600}; at += milliseconds{100})
+    {
+        report.worker.unresponsive = at > milliseconds{11'000};
+        scheduler.on_report(report, instant_at(at));
+        static_cast<void>(scheduler.schedule(instant_at(at), {}, true));
+        const std::vector<std::string> found = wait_reasons(scheduler);
+        reasons.insert(reasons.end(), found.begin(), found.end());
+    }
+    CHECK(reasons == std::vector<std::string>{"worker or agent silent"});
+}
+
 TEST_CASE("jobs whose lines do not fit into a second are recorded in the next ones")
 {
     site_scheduler scheduler(settings_of_epoch(1), instant_at(milliseconds{10'000}));
