--- a/tests/batch_site_test.cpp
+++ b/tests/batch_site_test.cpp
@@ -1,7 +1,9 @@
 #include "support/virtual_site.hpp"
 
+#include <cstdlib>
 #include <doctest/doctest.h>
 #include <numeric>
+#include <sstream>
 #include <vector>
 
 /// Simulates whole sites in virtual time: the production scheduler, run tables and leases with
@@ -786,11 +788,23 @@
     CHECK(completed_jobs(site) == 24);
 }
 
-/// @return the seeds of a session: the first ones, and those that failed once.
+/// @return the seeds of a session: the first ones, and those that failed once; or those that the
+/// environment names, as CHICORYLIFT_SEEDS=FIRST,COUNT.
 std::vector<std::uint32_t> session_seeds()
 {
     std::vector<std::uint32_t> seeds(40);
     std::iota(seeds.begin(), seeds.end(), 1U);
+    if (const char* const wanted = std::getenv("CHICORYLIFT_SEEDS"))
+    {
+        std::istringstream text(wanted);
+        std::uint32_t first = 0;
+        std::size_t count = 0;
+        char comma = 0;
+        REQUIRE((text >> first >> comma >> count));
+        seeds.resize(count);
+        std::iota(seeds.begin(), seeds.end(), first);
+        return seeds;
+    }
     // The wait for a rack began again whenever a run of the step ended, or was stopped unsent.
     seeds.insert(seeds.end(), {1199U, 1299U});
     return seeds;
