--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -524,7 +524,7 @@
     }
     const auto workers = static_cast<std::int64_t>(records.in_use.size());
     return 2 * used < workers * accelerators_per_worker &&
-           places >= 2 * (job.is_gang ? job.units : 1);
+           places >= 2 * std::int64_t{job.is_gang ? job.units : 1};
 }
 
 /// Notes a job that stands still though it could run.
@@ -666,6 +666,7 @@
     std::atomic<bool> stops = false;
     std::array<std::vector<soak_job>, client_count> jobs_of;
     std::vector<std::thread> clients;
+    clients.reserve(client_count);
     for (int index = 0; index < client_count; ++index)
     {
         clients.emplace_back(
@@ -719,7 +720,7 @@
     static const std::string range = []
     {
         const char* const value = std::getenv("CHICORYLIFT_SOAK");
-        const std::string text = value == nullptr ? "1,1" : value;
+        std::string text = value == nullptr ? "1,1" : value;
         ::unsetenv("CHICORYLIFT_SOAK");
         return text;
     }();
