Wait a lease, not 18 s, where most agents follow a new leader

What callers may see: LOST, nothing is placed for 18 s after two quick changes of leader.

Cause: where most agents have reported, but neither most informed nor most uninformed ones, the leader waits until all leases have lapsed. The wait for agents that may follow an earlier leader without the store was added to that, though no such leader has most agents. It is counted from when most agents followed this one.

Test: batch_test, "a leader that most agents follow waits no longer than a lease for the others", failed before.

--- a/include/chicorylift/batch/takeover_guard.hpp
+++ b/include/chicorylift/batch/takeover_guard.hpp
@@ -56,8 +56,8 @@
     void announce_unpersisted_starts(bool unpersisted);
 
     /// @return whether this leader may place work: the agents that have reported tell what an
-    /// earlier leader may have started, or the lease timeout has passed since an earlier leader
-    /// that most agents follow must have ended. Stays true once it is.
+    /// earlier leader may have started, or the lease timeout has passed since followed_since().
+    /// Stays true once it is.
     [[nodiscard]] bool may_place(core::instant now) const;
     /// @return when more than half of the agents had reported, or else
     ///         `unconfirmed_leadership_timeout` after this member became leader. An earlier leader
--- a/src/batch/takeover_guard.cpp
+++ b/src/batch/takeover_guard.cpp
@@ -94,8 +94,7 @@
     if (!this->may_place_latched)
     {
         this->may_place_latched =
-            this->members_known &&
-            now - this->began > unconfirmed_leadership_timeout + this->lease_timeout;
+            this->members_known && now - this->followed_since() > this->lease_timeout;
     }
     return this->may_place_latched;
 }
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -634,6 +634,29 @@
     CHECK(!one_restarted.predecessor_may_have_unpersisted_runs());
 }
 
+// Guards against LOST: the wait for agents that may follow another leader is not for one that most
+// agents follow.
+TEST_CASE("a leader that most agents follow waits no longer than a lease for the others")
+{
+    const milliseconds lease_timeout{5500};
+    takeover_guard guard(instant_at(milliseconds{0}), lease_timeout);
+    for (const char* const name : {"a", "b", "c", "d", "e"})
+    {
+        guard.add_agent(agent_id(name));
+    }
+    // Neither most agents are informed, nor will most never be: the reports are not conclusive.
+    for (const char* const name : {"a", "b", "c"})
+    {
+        guard.on_report(agent_id(name),
+                        {.confirmed = false,
+                         .earlier_unpersisted = false,
+                         .informed = std::string(name) != "c"},
+                        instant_at(milliseconds{200}));
+    }
+    CHECK(!guard.may_place(instant_at(milliseconds{200} + lease_timeout)));
+    CHECK(guard.may_place(instant_at(milliseconds{201} + lease_timeout)));
+}
+
 // Guards against TWICE: a process that leads again gets reports meant for its earlier epoch, while
 // their senders may still follow the leader in between.
 TEST_CASE("agents that follow an earlier epoch do not count as following a new leader")
