--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -169,12 +169,24 @@
     [[nodiscard]] bool is_guaranteed(const job_state& job) const;
 
     // Waiting jobs (scheduler_waits.cpp).
-    /// What a job waits for: a group without room, or else a run that does not start or stop.
+    /// What a job waits for: agents that have not reported, a group without room, or a run that
+    /// does not start or stop or is not seen, in this order.
     struct wait_cause
     {
+        bool agents = false;
         const placement_group* group{};
         const run_state* run{};
+
+        [[nodiscard]] job_wait::object waits_for() const noexcept
+        {
+            return this->agents             ? job_wait::object::agents
+                   : this->group != nullptr ? job_wait::object::room
+                                            : job_wait::object::run;
+        }
     };
+    using wait_causes = std::map<const job_state*, wait_cause>;
+    [[nodiscard]] wait_causes find_wait_causes(const std::vector<placement_group>& groups,
+                                               core::instant now) const;
     /// Records why jobs wait that have had a unit ready for a second.
     void record_waits(const std::vector<placement_group>& groups, core::instant now,
                       bool allow_unpersisted_starts);
--- a/src/batch/scheduler_waits.cpp
+++ b/src/batch/scheduler_waits.cpp
@@ -26,6 +26,22 @@
     return std::to_string(time.count()) + " ms";
 }
 
+/// Notes what a job waits for. A job that comes to wait for something else gets a line soon.
+void update_wait(job_wait& wait, job_wait::object waits_for, core::instant now)
+{
+    const core::instant first_line = now + min_recorded_wait;
+    if (!wait.since.has_value())
+    {
+        wait = {now, first_line, waits_for};
+    }
+    else if (waits_for != wait.waits_for)
+    {
+        wait.next_line = std::min(wait.next_line, first_line);
+        wait.waits_for = waits_for;
+    }
+}
+
+/// Number of the items added, and the names of the first ones.
 class counted_list
 {
 public:
@@ -58,60 +74,17 @@
         return;
     }
     this->next_wait_check = now + wait_check_interval;
-    std::map<job_state*, wait_cause> waiting;
-    for (auto& [id, job] : this->jobs)
-    {
-        if (job.is_active() && !job.unreconciled_agents.empty())
-        {
-            waiting[&job] = {};
-        }
-    }
-    for (const auto& [number, run] : this->runs)
-    {
-        const auto job = this->jobs.find(run.job);
-        const bool unconfirmed =
-            std::any_of(run.members.begin(), run.members.end(),
-                        [this, now](const run_member_state& member)
-                        { return !member.ended && !this->is_seen_running(member, now); });
-        if (job != this->jobs.end() && job->second.is_active() && (run.stopping || unconfirmed))
-        {
-            waiting[&job->second].run = &run;
-        }
-    }
-    for (const placement_group& group : groups)
-    {
-        const step_state& step = group.job->occurrences.at(group.occurrence)[to_index(group.step)];
-        wait_cause& cause = waiting[group.job];
-        if (step.units[to_index(group.units.front())].run == 0 && cause.group == nullptr)
-        {
-            cause.group = &group;
-        }
-    }
+    const wait_causes causes = this->find_wait_causes(groups, now);
     std::vector<std::pair<core::instant, job_state*>> due;
     for (auto& [id, job] : this->jobs)
     {
-        const auto found = waiting.find(&job);
-        if (found == waiting.end() ||
-            (found->second.group == nullptr && found->second.run == nullptr &&
-             job.unreconciled_agents.empty()))
+        const auto cause = causes.find(&job);
+        if (cause == causes.end())
         {
             job.wait = {};
             continue;
         }
-        const job_wait::object waits_for = !job.unreconciled_agents.empty()
-                                               ? job_wait::object::agents
-                                           : found->second.group != nullptr ? job_wait::object::room
-                                                                            : job_wait::object::run;
-        const core::instant first_line = now + min_recorded_wait;
-        if (!job.wait.since.has_value())
-        {
-            job.wait = {now, first_line, waits_for};
-        }
-        else if (waits_for != job.wait.waits_for)
-        {
-            job.wait.next_line = std::min(job.wait.next_line, first_line);
-        }
-        job.wait.waits_for = waits_for;
+        update_wait(job.wait, cause->second.waits_for(), now);
         if (job.wait.next_line <= now)
         {
             due.emplace_back(job.wait.next_line, &job);
@@ -123,12 +96,49 @@
     due.resize(lines);
     for (const auto& [since, job] : due)
     {
-        this->record_wait(*job, waiting.at(job), now, allow_unpersisted_starts);
+        this->record_wait(*job, causes.at(job), now, allow_unpersisted_starts);
         const core::milliseconds waited = now - *job->wait.since;
         job->wait.next_line = now + std::min(waited, max_line_interval);
     }
 }
 
+site_scheduler::implementation::wait_causes
+site_scheduler::implementation::find_wait_causes(const std::vector<placement_group>& groups,
+                                                 core::instant now) const
+{
+    wait_causes causes;
+    for (const auto& [id, job] : this->jobs)
+    {
+        if (job.is_active() && !job.unreconciled_agents.empty())
+        {
+            causes[&job].agents = true;
+        }
+    }
+    for (const auto& [number, run] : this->runs)
+    {
+        const auto job = this->jobs.find(run.job);
+        const bool unseen =
+            std::any_of(run.members.begin(), run.members.end(),
+                        [this, now](const run_member_state& member)
+                        { return !member.ended && !this->is_seen_running(member, now); });
+        if (job != this->jobs.end() && job->second.is_active() && (run.stopping || unseen))
+        {
+            causes[&job->second].run = &run;
+        }
+    }
+    for (const placement_group& group : groups)
+    {
+        // Groups that this pass has placed wait no longer.
+        const step_state& step = group.job->occurrences.at(group.occurrence)[to_index(group.step)];
+        if (step.units[to_index(group.units.front())].run == 0)
+        {
+            wait_cause& cause = causes[group.job];
+            cause.group = cause.group == nullptr ? &group : cause.group;
+        }
+    }
+    return causes;
+}
+
 bool site_scheduler::implementation::is_seen_running(const run_member_state& member,
                                                      core::instant now) const
 {
