--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -520,7 +520,7 @@
         const std::string log = site.agent(agent).output();
         for (int unit = 0; unit < units && agent != leader; ++unit)
         {
-            const std::string name = job_name(1) + ".0.0." + std::to_string(unit);
+            std::string name = job_name(1) + ".0.0." + std::to_string(unit);
             if (log.find(R"("event":"run_started","unit":")" + name) != std::string::npos)
             {
                 site.workers().set_silent("i-" + std::to_string(agent), true);
