--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -231,6 +231,14 @@
     core::milliseconds checkpoint_write_interval = std::chrono::milliseconds{1000};
     /// Longest wait for room in the rack that holds the data, or in one rack for a whole gang.
     core::milliseconds rack_locality_wait = std::chrono::milliseconds{2000};
+    /// Expects run times and worker speeds as learned from finished runs, not as declared.
+    bool learn_run_times = false;
+    /// Orders jobs of equal priority by the value that their callers can still get.
+    bool order_by_value = false;
+    /// Orders jobs of equal priority by what their organisations hold already.
+    bool fair_shares = false;
+    /// Keeps workers whole for units that need a whole worker.
+    bool keep_whole_workers = false;
 };
 
 /// Places the jobs of one site on its workers; owns no thread, socket or clock.
--- a/src/batch/placement.hpp
+++ b/src/batch/placement.hpp
@@ -25,6 +25,10 @@
     std::int64_t step_units{};
     /// Units of the step have failed on this worker; others are preferred.
     bool has_recent_failures = false;
+    /// Speed relative to the service's typical worker; see run_time_model::speed_of().
+    double speed = 1;
+    /// The worker is cold, or its zone was lately restored to service; others are preferred.
+    bool warming_up = false;
 };
 
 /// Run that may be preempted to free resources.
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -58,6 +58,10 @@
     result.lease_timeout = lease_timeout(values);
     result.remote_factor = values.remote_factor;
     result.restore_time = values.restore_time;
+    result.learn_run_times = values.learn_run_times;
+    result.order_by_value = values.order_by_value;
+    result.fair_shares = values.fair_shares;
+    result.keep_whole_workers = values.keep_whole_workers;
     return result;
 }
 
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -22,7 +22,7 @@
 constexpr std::string_view variable_prefix = "CHICORYLIFT_";
 /// Environment variable with the path of the settings file.
 constexpr const char* settings_file_variable = "CHICORYLIFT_BOOT";
-constexpr std::array<std::string_view, 18> variables{
+constexpr std::array<std::string_view, 24> variables{
     "CHICORYLIFT_BOOT",
     "CHICORYLIFT_ROLE",
     "CHICORYLIFT_NAME",
@@ -41,6 +41,12 @@
     "CHICORYLIFT_REMOTE_FACTOR",
     "CHICORYLIFT_MOST_CONNECTIONS",
     "CHICORYLIFT_KEEP_ENDED_S",
+    "CHICORYLIFT_RESTORE_MS",
+    "CHICORYLIFT_EVACUATION_MS",
+    "CHICORYLIFT_LEARN_RUN_TIMES",
+    "CHICORYLIFT_ORDER_BY_VALUE",
+    "CHICORYLIFT_FAIR_SHARES",
+    "CHICORYLIFT_KEEP_WHOLE_WORKERS",
 };
 
 absl::Status invalid(const std::string& setting, const std::string& value,
@@ -130,6 +136,25 @@
                    "entry: largest number of open client connections")
         ->envname("CHICORYLIFT_MOST_CONNECTIONS")
         ->capture_default_str();
+    add_time(
+        app, "evacuation-ms", values.evacuation_limit, "CHICORYLIFT_EVACUATION_MS",
+        "agent: time within which an evacuated zone gets no more work; 0 disables evacuations");
+    app.add_option("--learn-run-times", values.learn_run_times,
+                   "agent: expect run times as learned from finished runs")
+        ->envname("CHICORYLIFT_LEARN_RUN_TIMES")
+        ->capture_default_str();
+    app.add_option("--order-by-value", values.order_by_value,
+                   "agent: order jobs of equal priority by what their callers can still get")
+        ->envname("CHICORYLIFT_ORDER_BY_VALUE")
+        ->capture_default_str();
+    app.add_option("--fair-shares", values.fair_shares,
+                   "agent: order jobs of equal priority by what their organisations hold")
+        ->envname("CHICORYLIFT_FAIR_SHARES")
+        ->capture_default_str();
+    app.add_option("--keep-whole-workers", values.keep_whole_workers,
+                   "agent: keep workers whole for units that need a whole worker")
+        ->envname("CHICORYLIFT_KEEP_WHOLE_WORKERS")
+        ->capture_default_str();
     app.add_flag("--check-settings", values.check_only, "check the settings and exit");
 }
 
@@ -166,6 +191,11 @@
     // Shorter leases expire before a newly elected leader can renew them.
     checks.push_back(check_time("longest-lease-ms", values.max_lease, 3000, hour_ms));
     checks.push_back(check_time("restore-ms", values.restore_time, 0, hour_ms));
+    if (values.evacuation_limit.count() != 0)
+    {
+        // Shorter limits could not be kept beside the watch of the configuration rows.
+        checks.push_back(check_time("evacuation-ms", values.evacuation_limit, 4000, hour_ms));
+    }
     checks.push_back(check_time("key-revocation-ms", values.key_revocation, 2500, hour_ms));
     checks.push_back(check_time("stop-grace-s", values.stop_grace, 500, hour_ms));
     if (values.keep_ended_s < 1)
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -45,6 +45,14 @@
     std::int64_t keep_ended_s = 120;
     /// Entry: largest number of open client connections.
     std::uint32_t max_connections = 3000;
+    /// Agent: time within which a leader stops placing work in an evacuated availability zone; 0
+    /// disables evacuations.
+    core::milliseconds evacuation_limit{0};
+    /// Agent: see the fields of the same names in batch::scheduler_settings.
+    bool learn_run_times = false;
+    bool order_by_value = false;
+    bool fair_shares = false;
+    bool keep_whole_workers = false;
     /// Check the settings and exit.
     bool check_only = false;
 };
