Evacuate availability zones on operators' requests

Cause: operators can ask for a zone to get no further work by a row `evacuate/ZONE` in the table `op`; the leader ignored such rows.

Change: the leader follows the rows with its mirror of the configuration, excludes the zone's workers in may_place_on, stops starts there that are not confirmed, drops reservations, and holds starts while its view of the rows is too old. A restored zone is filled gradually. Log events, metrics and `chicoryctl evacuations` show what still runs in a zone.

The process tests in evacuation_test had not run at this commit.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -241,6 +241,32 @@
     bool keep_whole_workers = false;
 };
 
+/// What still keeps an availability zone from being switched off.
+struct zone_use
+{
+    std::size_t workers{};
+    /// Units that run on workers of the zone.
+    std::size_t running_units{};
+    /// Units whose start or stop their agents have not confirmed.
+    std::size_t unconfirmed_starts{};
+    /// Ended runs that only the zone's workers know until they are persisted.
+    std::size_t unpersisted_ends{};
+    /// Workers of the zone whose run lists this leader has not read.
+    std::size_t unread_workers{};
+    /// Workers that may be in the zone: they have not announced themselves to this leader.
+    std::size_t unknown_workers{};
+    /// When the last run is expected to end; the latest time for long-running units.
+    core::instant last_end{};
+
+    /// @return whether no work would be lost.
+    [[nodiscard]] bool is_idle() const noexcept
+    {
+        return this->running_units + this->unconfirmed_starts + this->unpersisted_ends +
+                   this->unread_workers + this->unknown_workers ==
+               0;
+    }
+};
+
 /// Places the jobs of one site on its workers; owns no thread, socket or clock.
 ///
 /// Handles bursts of small and large gangs, preemption for guaranteed work, workers that are lost,
@@ -269,6 +295,13 @@
     void cancel_job(const core::job_id& job);
     /// Removes an ended job.
     void remove_job(const core::job_id& job);
+    /// Sets the zones whose workers get no further work. Runs whose start a worker of such a zone
+    /// has not confirmed are stopped, and reservations there are dropped; other runs continue.
+    /// Workers of a zone that is no longer in the set are filled gradually.
+    void set_evacuated_zones(std::set<core::zone_id> zones, core::instant now);
+    /// Holds all placements and starts, or ends that; stops and ends are processed all the same.
+    void hold_starts(bool held);
+    [[nodiscard]] zone_use use_of_zone(const core::zone_id& zone, core::instant now) const;
     /// Registers an agent that has not reported yet; no effect when it is registered.
     void add_agent(const agent_id& agent);
     /// Assumes that every job may be running on every agent that has not reported. Needed after a
--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -63,7 +63,7 @@
 }
 
 /// Fills the workers one by one: those without recent failures first, then those in the data rack,
-/// then those with the fewest free resources.
+/// then those that are not warming up, then those with the fewest free resources.
 /// @return placements of as many units as fit.
 std::vector<unit_placement> fill(const step_spec& step, const std::vector<std::int64_t>& units,
                                  const std::vector<candidate_worker>& workers)
@@ -80,7 +80,7 @@
     { return !step.data_rack.empty() && worker.rack.str() != step.data_rack; };
     const auto key = [&off_data_rack](const candidate_worker& worker)
     {
-        return std::tuple(worker.has_recent_failures, off_data_rack(worker),
+        return std::tuple(worker.has_recent_failures, off_data_rack(worker), worker.warming_up,
                           worker.free.accelerators, worker.free.millicores,
                           std::cref(worker.agent));
     };
@@ -264,11 +264,12 @@
         return fill_all(step, units, workers);
     }
     std::optional<std::vector<unit_placement>> best;
-    std::tuple<bool, std::int64_t> best_key;
+    std::tuple<bool, bool, std::int64_t> best_key;
     for (const std::vector<candidate_worker>& local : by_rack(workers))
     {
+        // The workers of a rack are in one zone, which is restored to service as a whole.
         const std::tuple key(has_data_rack && local.front().rack.str() != step.data_rack,
-                             free_accelerators(local));
+                             local.front().warming_up, free_accelerators(local));
         if (best.has_value() && key >= best_key)
         {
             continue;
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -76,6 +76,31 @@
     /// @return whether the checkpoint was stored.
     static bool update_checkpoint(unit_state& unit, const std::string& checkpoint);
 
+    // Workers that may get work, evacuated zones (scheduler_eligibility.cpp).
+    /// Why a worker gets no units of a step; the quarantine is weighed separately.
+    enum class placement_obstacle
+    {
+        none,
+        /// The worker, its agent, or what the step requires.
+        worker,
+        zone_evacuated,
+    };
+    [[nodiscard]] placement_obstacle obstacle_on(const worker_state& worker, const job_state& job,
+                                                 const step_spec& step, core::instant now) const;
+    [[nodiscard]] bool may_place_on(const worker_state& worker, const job_state& job,
+                                    const step_spec& step, core::instant now) const;
+    void set_evacuated_zones(std::set<core::zone_id> zones, core::instant now);
+    /// Applies the evacuations to a worker after either has changed.
+    void update_zone_state(worker_state& worker);
+    /// Stops the runs whose start the worker's agent has not confirmed.
+    void stop_unconfirmed_runs(const worker_state& worker);
+    [[nodiscard]] bool is_warming_up(const worker_state& worker, core::instant now) const;
+    /// @return the part of @p free that may be filled now; less than all of it only while the
+    ///         worker's zone has just been restored to service.
+    [[nodiscard]] resource_amount fillable(const worker_state& worker, const resource_amount& free,
+                                           core::instant now) const;
+    [[nodiscard]] zone_use use_of_zone(const core::zone_id& zone, core::instant now) const;
+
     // Scheduling pass (scheduler_pass.cpp, scheduler_place.cpp, scheduler_preemption.cpp).
     std::vector<agent_command> schedule(core::instant now, unix_time wall_time,
                                         bool allow_unpersisted_starts);
@@ -151,8 +176,6 @@
     [[nodiscard]] double preemption_cost(const run_state& run, const step_spec& step,
                                          core::instant now) const;
     [[nodiscard]] resources_by_worker available_resources() const;
-    [[nodiscard]] bool may_place_on(const worker_state& worker, const job_state& job,
-                                    const step_spec& step, core::instant now) const;
     /// Finds the services of which less than half of the capacity is in use; once per pass.
     void find_services_with_spare(const resources_by_worker& available);
     /// @return whether the group has waited so long on a service with spare capacity that whatever
@@ -223,6 +246,11 @@
     worker_state& get_or_create_worker(const agent_id& agent);
 
     std::map<agent_id, worker_state> workers;
+    std::set<core::zone_id> evacuated_zones;
+    /// When each zone was last restored to service.
+    std::map<core::zone_id, core::instant> restored_zones;
+    /// See site_scheduler::hold_starts().
+    bool starts_held = false;
     std::map<core::organisation_id, std::int64_t> urgent_demand;
     std::set<core::job_id> unpersisted;
     core::instant next_checkpoint_write{};
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -57,7 +57,10 @@
         this->remove_run_if_ended(number, now);
     }
     std::vector<placement_group> groups = this->ready_groups(now, wall_time);
-    this->place_groups(groups, now);
+    if (!this->starts_held)
+    {
+        this->place_groups(groups, now);
+    }
     std::vector<agent_command> commands;
     this->issue_commands(commands, now, allow_unpersisted_starts);
     this->record_waits(groups, now, allow_unpersisted_starts);
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -73,26 +73,6 @@
     return available;
 }
 
-bool site_scheduler::implementation::may_place_on(const worker_state& worker, const job_state& job,
-                                                  const step_spec& step, core::instant now) const
-{
-    if (!worker.reconciled || worker.lost || worker.agent_stopping || !worker.info.announced ||
-        worker.info.unresponsive || worker.info.draining ||
-        worker.info.service != job.policy.service)
-    {
-        return false;
-    }
-    // Without a recent report, the worker's lease may have lapsed when the start command arrives.
-    constexpr core::milliseconds max_report_age{2500};
-    if (now - worker.last_report_at > max_report_age)
-    {
-        return false;
-    }
-    const auto& labels = worker.info.labels;
-    return step.required_label.empty() ||
-           std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
-}
-
 std::vector<candidate_worker> site_scheduler::implementation::candidate_workers(
     const placement_group& group, const resources_by_worker& available, core::instant now) const
 {
@@ -134,12 +114,16 @@
         candidate_worker& candidate = candidates.emplace_back();
         candidate.agent = id;
         candidate.rack = worker.info.rack;
-        candidate.free = available[worker.index];
+        // Urgent work is not delayed for the sake of workers that may be cold.
+        const bool gradually = !any_room && group.job->policy.priority > 0;
+        candidate.free = gradually ? this->fillable(worker, available[worker.index], now)
+                                   : available[worker.index];
         candidate.index = worker.index;
         candidate.step_units = units_per_worker.empty() ? 0 : units_per_worker[worker.index];
         candidate.has_recent_failures = worker.failure_history.failures > 0 ||
                                         worker.failure_history.quarantined_until > now ||
                                         (!failed_on.empty() && failed_on.contains(id));
+        candidate.warming_up = this->is_warming_up(worker, now);
     }
     return candidates;
 }
@@ -150,7 +134,7 @@
     std::map<core::rack_id, std::int64_t> units_per_rack;
     for (const auto& [id, worker] : this->workers)
     {
-        if (!worker.lost && !worker.info.unresponsive &&
+        if (!worker.lost && !worker.info.unresponsive && !worker.zone_evacuated &&
             worker.info.service == group.job->policy.service)
         {
             units_per_rack[worker.info.rack] +=
@@ -167,7 +151,7 @@
     for (const auto& [id, worker] : this->workers)
     {
         if (!worker.lost && worker.info.announced && !worker.info.draining &&
-            !worker.info.unresponsive)
+            !worker.info.unresponsive && !worker.zone_evacuated)
         {
             auto& [free, capacity] = free_and_capacity[worker.info.service];
             free += core_equivalents(available[worker.index]);
@@ -212,7 +196,8 @@
                         [&step](const auto& each)
                         {
                             return each.second.info.rack.str() == step.data_rack &&
-                                   !each.second.lost && !each.second.info.draining;
+                                   !each.second.lost && !each.second.info.draining &&
+                                   !each.second.zone_evacuated;
                         });
     }
     return rules;
@@ -547,6 +532,10 @@
 {
     for (auto& [number, run] : this->runs)
     {
+        if (this->starts_held && !run.stopping)
+        {
+            continue;
+        }
         const auto job = this->jobs.find(run.job);
         if (!run.stopping && job != this->jobs.end() &&
             !this->may_start_unpersisted(job->second, allow_unpersisted_starts))
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -64,6 +64,7 @@
     }
     if (!report.lists_valid)
     {
+        this->update_zone_state(worker);
         return;
     }
     worker.lists_read_at = now - report.lists_age;
@@ -92,6 +93,9 @@
         this->stop_unstarted_runs(worker, listed);
         this->mark_reconciled(worker);
     }
+    // The worker may have moved to another zone, or its list has shown a start of an earlier
+    // leader.
+    this->update_zone_state(worker);
 }
 
 void site_scheduler::implementation::update_worker_info(worker_state& worker,
--- a/src/batch/scheduler_waits.cpp
+++ b/src/batch/scheduler_waits.cpp
@@ -197,6 +197,12 @@
     {
         return "stop not confirmed";
     }
+    if (this->starts_held && std::any_of(run.members.begin(), run.members.end(),
+                                         [](const run_member_state& member)
+                                         { return !member.ended && !member.command_sent; }))
+    {
+        return "starts are held";
+    }
     const bool confirmed = std::all_of(run.members.begin(), run.members.end(),
                                        [](const run_member_state& member)
                                        { return member.ended || member.confirmed; });
@@ -215,6 +221,10 @@
 std::string_view site_scheduler::implementation::explain_group(const placement_group& group,
                                                                core::instant now) const
 {
+    if (this->starts_held)
+    {
+        return "starts are held";
+    }
     const step_spec& step = this->spec_of(group);
     const resources_by_worker available = this->available_resources();
     std::vector<candidate_worker> candidates = this->candidate_workers(group, available, now);
@@ -240,6 +250,19 @@
     {
         return "room only on distrusted workers";
     }
+    bool evacuated = false;
+    for (const auto& [id, worker] : this->workers)
+    {
+        if (this->obstacle_on(worker, *group.job, step, now) == placement_obstacle::zone_evacuated)
+        {
+            evacuated = true;
+            candidates.push_back({id, worker.info.rack, available[worker.index], worker.index});
+        }
+    }
+    if (evacuated && place_units(step, group.units, candidates, {}).has_value())
+    {
+        return "zone evacuated";
+    }
     return candidates.empty() ? "no worker" : "no room";
 }
 
@@ -269,22 +292,28 @@
     std::size_t lost = 0;
     std::size_t silent = 0;
     std::size_t draining = 0;
+    std::size_t evacuated = 0;
+    std::size_t warming_up = 0;
     for (const auto& [id, worker] : this->workers)
     {
         if (this->may_place_on(worker, *group.job, step, now))
         {
             ++(worker.failure_history.quarantined_until > now ? distrusted : usable);
+            warming_up += this->is_warming_up(worker, now) ? 1 : 0;
             continue;
         }
         unreconciled += !worker.reconciled && !worker.lost ? 1 : 0;
         lost += worker.lost ? 1 : 0;
         silent += worker.info.unresponsive ? 1 : 0;
         draining += worker.info.draining || worker.agent_stopping ? 1 : 0;
+        evacuated += worker.zone_evacuated ? 1 : 0;
     }
     return "workers: usable " + std::to_string(usable) + " of " +
            std::to_string(this->workers.size()) + ", distrusted " + std::to_string(distrusted) +
            ", lists not read " + std::to_string(unreconciled) + ", lost " + std::to_string(lost) +
            ", silent " + std::to_string(silent) + ", leaving " + std::to_string(draining) +
+           (this->evacuated_zones.empty() ? "" : ", evacuated " + std::to_string(evacuated)) +
+           (warming_up == 0 ? "" : ", warming up " + std::to_string(warming_up)) +
            "; reservations: backfill " + std::to_string(this->backfill_reservations.size()) +
            " workers, preemption " + std::to_string(this->preemption_reservations.size()) +
            " groups";
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -184,6 +184,10 @@
     bool reconciled = false;
     bool lost = false;
     bool agent_stopping = false;
+    /// The worker's availability zone is evacuated.
+    bool zone_evacuated = false;
+    /// When the worker's zone was restored to service after an evacuation that this leader saw.
+    std::optional<core::instant> zone_restored_at;
     core::instant last_report_at{};
     /// When the run lists of the last report were read from the worker.
     core::instant lists_read_at{};
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "chicorylift/core/error.hpp"
 #include "ctl/commands.hpp"
+#include "ctl/evacuations.hpp"
 #include "ctl/trace.hpp"
 
 #include <CLI/CLI.hpp>
@@ -29,11 +30,15 @@
 
 int main(int argument_count, char** arguments)
 {
-    // trace reads only log files, so it requires neither an entry nor a token.
+    // These commands read only log files, so they require neither an entry nor a token.
     if (argument_count > 1 && std::string_view(arguments[1]) == "trace")
     {
         return ctl::run_trace(argument_count - 1, arguments + 1);
     }
+    if (argument_count > 1 && std::string_view(arguments[1]) == "evacuations")
+    {
+        return ctl::run_evacuations(argument_count - 1, arguments + 1);
+    }
     constexpr int usage_error = 2;
     ctl::client_options options;
     ctl::command request;
@@ -42,8 +47,9 @@
     bool idempotent = false;
     std::string key;
     std::string timeout;
-    CLI::App app("chicoryctl: manages chicorylift through one of its entries; "
-                 "\"chicoryctl trace ID FILE...\" reads logs");
+    CLI::App app(
+        "chicoryctl: manages chicorylift through one of its entries; "
+        "\"chicoryctl trace ID FILE...\" and \"chicoryctl evacuations FILE...\" read logs");
     app.set_version_flag("--version", "chicorylift 0.1.0");
     app.require_subcommand(1);
     app.fallthrough();
--- a/src/ctl/trace.cpp
+++ b/src/ctl/trace.cpp
@@ -1,5 +1,7 @@
 #include "ctl/trace.hpp"
 
+#include "ctl/log_line.hpp"
+
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <array>
@@ -14,25 +16,11 @@
 
 /// Events about the state of the store, leads, workers and processes. They are printed as context
 /// between the lines of a job.
-constexpr std::array<std::string_view, 16> context_events{
-    "store_lost",        "store_regained",  "config_stale",       "config_fresh",
-    "lead_suspected",    "lead_taken",      "lead_lost",          "worker_silent",
-    "worker_back",       "worker_lost",     "worker_left",        "worker_restarted",
-    "worker_distrusted", "scheduling_held", "scheduling_resumed", "stopping"};
-
-/// @return the string value of a member of a one-line JSON object, with its escapes left as they
-/// are.
-std::string member(const std::string& object, const std::string& name)
-{
-    const std::string prefix = "\"" + name + "\":\"";
-    const std::size_t begin = object.find(prefix);
-    if (begin == std::string::npos)
-    {
-        return {};
-    }
-    const std::size_t first = begin + prefix.size();
-    return object.substr(first, object.find('"', first) - first);
-}
+constexpr std::array<std::string_view, 18> context_events{
+    "store_lost",  "store_regained",   "config_stale",      "config_fresh",    "lead_suspected",
+    "lead_taken",  "lead_lost",        "worker_silent",     "worker_back",     "worker_lost",
+    "worker_left", "worker_restarted", "worker_distrusted", "scheduling_held", "scheduling_resumed",
+    "stopping",    "evacuation_begun", "evacuation_ended"};
 
 /// @return the text of the members that follow "event".
 std::string after_event(const std::string& object, const std::string& event)
@@ -62,14 +50,14 @@
         }
         const std::string object = text.substr(brace);
         line entry;
-        entry.event = member(object, "event");
+        entry.event = log_field(object, "event");
         entry.mentions_id = object.find(this->id) != std::string::npos;
         const bool is_context = std::find(context_events.begin(), context_events.end(),
                                           entry.event) != context_events.end();
         if (entry.mentions_id || is_context)
         {
-            entry.time = member(object, "time");
-            entry.process = member(object, "process");
+            entry.time = log_field(object, "time");
+            entry.process = log_field(object, "process");
             entry.rest = after_event(object, entry.event);
             this->lines.push_back(std::move(entry));
         }
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -82,7 +82,8 @@
     : context(std::move(services)), my_epoch(epoch), row_version(row_version),
       scheduler(scheduler_settings_from(this->context.values, epoch), core::boot_clock::now()),
       guard(core::boot_clock::now(), lease_timeout(this->context.values)),
-      began(core::boot_clock::now()), last_tick(this->began)
+      evacuations(this->context.values.evacuation_limit), began(core::boot_clock::now()),
+      last_tick(this->began), active_at(this->began)
 {
     this->guard.await_members();
     this->confirmation.await_members();
@@ -95,9 +96,9 @@
         [this] { this->on_members_confirmed(); });
     this->config_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
-        mirror_settings{platform::config_table, "", config_wait},
+        mirror_settings{platform::config_table, "", this->evacuations.watch_wait(config_wait)},
         [this](const ports::row& row) { this->on_config_row(row); },
-        [this] { this->load_jobs_if_ready(); });
+        [this] { this->on_config_confirmed(); });
     this->job_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
         mirror_settings{job_table, site_partition, job_wait},
@@ -123,7 +124,10 @@
                                  });
 }
 
-leader::~leader() = default;
+leader::~leader()
+{
+    this->forget_evacuation_metrics();
+}
 
 void leader::on_observed_epoch(std::uint64_t epoch)
 {
@@ -376,6 +380,7 @@
     }
     this->scheduler.count_leases_from(this->guard.followed_since());
     this->scheduler.confirm_leadership(this->confirmation.store_confirmed());
+    this->update_start_hold(now);
     const support::stopwatch watch(this->work.pass_time);
     const std::vector<batch::agent_command> orders =
         this->scheduler.schedule(now, support::unix_now(), this->may_start_unpersisted());
@@ -393,10 +398,12 @@
 
 void leader::send_due_commands()
 {
+    this->detect_process_pause();
     if (this->may_schedule())
     {
-        this->send_orders(
-            this->scheduler.due_commands(core::boot_clock::now(), this->may_start_unpersisted()));
+        const core::instant now = core::boot_clock::now();
+        this->update_start_hold(now);
+        this->send_orders(this->scheduler.due_commands(now, this->may_start_unpersisted()));
     }
 }
 
@@ -476,6 +483,7 @@
         this->work.max_tick_delay = std::max(this->work.max_tick_delay, now - this->tick_due);
     }
     this->log_load();
+    this->log_evacuations(now);
     const core::milliseconds writes_failing = this->write_failing_since == core::instant{}
                                                   ? core::milliseconds{0}
                                                   : now - this->write_failing_since;
@@ -533,6 +541,7 @@
 void leader::detect_process_pause()
 {
     const core::instant now = core::boot_clock::now();
+    this->detect_view_pause(now);
     if (now - this->last_tick > pause_threshold && this->leadership_verified)
     {
         this->leadership_verified = false;
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -8,6 +8,7 @@
 #include "chicorylift/batch/site_config.hpp"
 #include "chicorylift/batch/store_health.hpp"
 #include "chicorylift/batch/takeover_guard.hpp"
+#include "chicorylift/batch/zone_evacuations.hpp"
 #include "net/event_loop.hpp"
 #include "net/transport.hpp"
 #include "ports/table_service.hpp"
@@ -103,6 +104,7 @@
     void on_job_row(const ports::row& row);
     void on_accepted_row(const ports::row& row);
     void on_config_row(const ports::row& row);
+    void on_config_confirmed();
     void on_leader_row(const ports::row& row);
     void on_member_row(const ports::row& row);
     void on_members_confirmed();
@@ -133,6 +135,18 @@
     /// Removes the rows of jobs that ended before the retention period, and of agents that have not
     /// reported for ten minutes.
     void trim();
+    // Evacuations (leader_evacuations.cpp).
+    void on_evacuation_row(const ports::row& row);
+    void on_evacuation_removed(const core::zone_id& zone, const ports::row& row, core::instant now);
+    void apply_evacuations(core::instant now);
+    /// Demands a new confirmation of the evacuations after a pause of the process.
+    void detect_view_pause(core::instant now);
+    /// @return whether the view of the evacuations is recent enough to start work.
+    [[nodiscard]] bool may_start_by_evacuations(core::instant now) const;
+    void update_start_hold(core::instant now);
+    /// Logs and measures what still runs in evacuated zones, at most once a second.
+    void log_evacuations(core::instant now);
+    void forget_evacuation_metrics();
     void log_records();
     /// Logs what the leader's time went to and what waits for it, once a second.
     void log_load();
@@ -148,6 +162,14 @@
     [[nodiscard]] bool may_start_unpersisted() const;
     [[nodiscard]] bool has_quorum(core::instant now) const;
 
+    /// What the last `evacuation_state` line of a zone said.
+    struct evacuation_line
+    {
+        std::string content;
+        core::instant repeat_at{};
+        bool reported_unknown = false;
+    };
+
     leader_context context;
     std::uint64_t my_epoch;
     ports::revision row_version;
@@ -166,11 +188,17 @@
     bool write_in_flight = false;
     batch::takeover_guard guard;
     batch::leadership_confirmation confirmation;
+    batch::zone_evacuations evacuations;
+    std::map<core::zone_id, evacuation_line> evacuation_lines;
+    core::instant next_evacuation_line{};
+    bool starts_held = false;
     bool leadership_verified = true;
     bool verification_in_flight = false;
     batch::store_health store_health;
     core::instant began;
     core::instant last_tick;
+    /// When this process was last seen to work.
+    core::instant active_at;
     core::instant resumed_at{};
     core::instant next_lazy_write{};
     core::instant write_failing_since{};
--- a/src/site/leader_load.cpp
+++ b/src/site/leader_load.cpp
@@ -81,7 +81,11 @@
     {
         return "no store and no quorum";
     }
-    return this->guard.may_place(now) ? "" : "too few agents have reported";
+    if (!this->guard.may_place(now))
+    {
+        return "too few agents have reported";
+    }
+    return this->may_start_by_evacuations(now) ? "" : "evacuations not confirmed by the store";
 }
 
 void leader::log_scheduling_hold()
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -70,6 +70,7 @@
 
 void leader::on_config_row(const ports::row& row)
 {
+    this->on_evacuation_row(row);
     if (!apply_config_row(row, "lead", this->config))
     {
         return;
@@ -161,8 +162,10 @@
 
 void leader::load_jobs_if_ready()
 {
+    // A request to evacuate a zone may stand in a row that follows the configuration's.
+    const bool requests_read = !this->evacuations.is_enabled() || this->config_rows->is_loaded();
     if (this->loaded || !this->job_rows->is_loaded() || !this->member_rows->is_loaded() ||
-        !this->config.has_value())
+        !this->config.has_value() || !requests_read)
     {
         return;
     }
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <random>
 #include <set>
+#include <utility>
 
 namespace chicorylift::site
 {
@@ -106,14 +107,31 @@
     {
         const core::instant sent_at = core::boot_clock::now();
         const std::weak_ptr<implementation> self = this->shared_from_this();
-        this->service.watch(this->settings.table, this->after, wait,
-                            [self, sent_at](const absl::StatusOr<ports::row_page>& page)
-                            {
-                                if (const auto alive = self.lock())
-                                {
-                                    alive->on_changes(page, sent_at);
-                                }
-                            });
+        this->watch_in_flight = true;
+        this->service.watch(
+            this->settings.table, this->after,
+            std::exchange(this->confirm_wanted, false) ? core::milliseconds{0} : wait,
+            [self, sent_at,
+             number = ++this->watch_number](const absl::StatusOr<ports::row_page>& page)
+            {
+                const auto alive = self.lock();
+                // The answer of a superseded watch is not used: the later one covers its changes.
+                if (alive != nullptr && number == alive->watch_number)
+                {
+                    alive->watch_in_flight = false;
+                    alive->on_changes(page, sent_at);
+                }
+            });
+    }
+
+    void confirm_soon()
+    {
+        // A listing or a retry in progress is followed by a watch.
+        this->confirm_wanted = true;
+        if (this->watch_in_flight)
+        {
+            this->watch(core::milliseconds{0});
+        }
     }
 
     void on_changes(const absl::StatusOr<ports::row_page>& page, core::instant sent_at)
@@ -148,7 +166,8 @@
             this->after = std::max(this->after, page->version);
         }
         this->newest = std::max(this->newest, page->version);
-        this->on_success(sent_at);
+        // The rest of a truncated page follows with the next answer.
+        this->on_success(page->truncated ? this->confirmed : sent_at);
         this->watch(this->settings.wait);
     }
 
@@ -214,6 +233,10 @@
     core::instant failing_since{};
     core::milliseconds retry_delay = min_retry_delay;
     bool loaded = false;
+    std::uint64_t watch_number{};
+    bool watch_in_flight = false;
+    /// The next watch does not wait for changes.
+    bool confirm_wanted = false;
 };
 
 mirrored_table::mirrored_table(net::event_loop& loop, ports::table_service& service,
@@ -268,6 +291,11 @@
     return found == this->inner->versions.end() ? 0 : found->second;
 }
 
+void mirrored_table::confirm_soon()
+{
+    this->inner->confirm_soon();
+}
+
 void mirrored_table::note_written(const std::string& key, ports::revision version)
 {
     ports::revision& known = this->inner->versions[key];
--- a/src/site/mirrored_table.hpp
+++ b/src/site/mirrored_table.hpp
@@ -49,6 +49,8 @@
     [[nodiscard]] ports::revision version() const noexcept;
     /// @return the version of a row, or 0 if it does not exist.
     [[nodiscard]] ports::revision version_of(const std::string& key) const;
+    /// Asks at once whether the rows are up to date, besides a call that may wait for changes.
+    void confirm_soon();
     /// Records the version of a row that this process has written, before the watch reports it.
     void note_written(const std::string& key, ports::revision version);
 
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -51,6 +51,21 @@
     return "organisation=\"" + key.organisation + "\",class=\"" + key.job_class + "\"";
 }
 
+/// @return the value with the characters escaped that end a label or a line.
+std::string escape_label(const std::string& value)
+{
+    std::string escaped;
+    for (const char character : value)
+    {
+        if (character == '"' || character == '\\')
+        {
+            escaped += '\\';
+        }
+        escaped += character == '\n' ? ' ' : character;
+    }
+    return escaped;
+}
+
 void print_histogram(std::ostream& out, const series_key& key, const series& data)
 {
     std::uint64_t cumulative = 0;
@@ -82,6 +97,7 @@
     mutable std::mutex mutex;
     std::map<series_key, series> histograms;
     std::map<counter_key, std::uint64_t> counters;
+    std::map<counter_key, std::int64_t> gauges;
 };
 
 metrics::metrics() : inner(std::make_unique<implementation>()) {}
@@ -108,6 +124,23 @@
     this->inner->counters[{std::string(name), std::string(kind)}] += amount;
 }
 
+void metrics::set(std::string_view name, std::string_view kind, std::int64_t value)
+{
+    const std::lock_guard lock(this->inner->mutex);
+    const counter_key key{std::string(name), std::string(kind)};
+    if (this->inner->gauges.size() < max_series || this->inner->gauges.contains(key))
+    {
+        this->inner->gauges[key] = value;
+    }
+}
+
+void metrics::remove(std::string_view prefix, std::string_view kind)
+{
+    const std::lock_guard lock(this->inner->mutex);
+    std::erase_if(this->inner->gauges, [prefix, kind](const auto& each)
+                  { return each.first.kind == kind && each.first.name.starts_with(prefix); });
+}
+
 std::string metrics::to_text() const
 {
     const std::lock_guard lock(this->inner->mutex);
@@ -121,6 +154,11 @@
         out << "chicorylift_" << key.name << "_total{kind=\"" << key.kind << "\"} " << total
             << '\n';
     }
+    for (const auto& [key, value] : this->inner->gauges)
+    {
+        out << "chicorylift_" << key.name << "{kind=\"" << escape_label(key.kind) << "\"} " << value
+            << '\n';
+    }
     return out.str();
 }
 
--- a/src/support/metrics.hpp
+++ b/src/support/metrics.hpp
@@ -27,6 +27,11 @@
     /// Increments the counter @p name with the label value @p kind.
     void increment(std::string_view name, std::string_view kind, std::uint64_t amount = 1);
 
+    /// Sets the gauge @p name with the label value @p kind.
+    void set(std::string_view name, std::string_view kind, std::int64_t value);
+    /// Removes the gauges with the label value @p kind whose names begin with @p prefix.
+    void remove(std::string_view prefix, std::string_view kind);
+
     /// @return all metrics in the Prometheus text format.
     [[nodiscard]] std::string to_text() const;
 
--- a/tests/logs_test.cpp
+++ b/tests/logs_test.cpp
@@ -1,3 +1,4 @@
+#include "ctl/evacuations.hpp"
 #include "ctl/trace.hpp"
 #include "support/events.hpp"
 
@@ -60,6 +61,42 @@
                        "10:00:03  entry  job_shown  \"job\":\"j1\",\"state\":2\n");
 }
 
+// An operator switches a zone off by this output: the state of a replaced leader must not stand for
+// the present one.
+TEST_CASE("the state of an evacuated zone is the newest of the leader in force")
+{
+    const std::string state =
+        R"({"time":"10:00:05","process":"agent-1","event":"evacuation_state","zone":"a",)"
+        R"("row_version":9,"epoch":2,"workers":3,"running_units":0,"unconfirmed_starts":0,)"
+        R"("unpersisted_ends":0,"unread_workers":0,"unknown_workers":0,"expected_ms":0,)"
+        R"("leader_in_zone":"no","may_switch_off":"yes"})"
+        "\n";
+    const std::string others =
+        R"({"time":"10:00:04","process":"agent-1","event":"evacuation_begun","zone":"a",)"
+        R"("row_version":9,"epoch":2})"
+        "\n"
+        R"({"time":"10:00:09","process":"agent-0","event":"evacuation_state","zone":"a",)"
+        R"("row_version":9,"epoch":1,"running_units":4,"may_switch_off":"no"})"
+        "\n"
+        R"({"time":"10:00:08","process":"agent-1","event":"evacuation_ended","zone":"b",)"
+        R"("row_version":12,"epoch":2})"
+        "\n";
+    ctl::evacuation_report report;
+    std::istringstream log(others + state);
+    report.read(log);
+    std::ostringstream out;
+    CHECK(report.print(out) == 2);
+    CHECK(out.str().starts_with("10:00:05  a  row 9  may be switched off: yes  running units 0,"));
+    CHECK(out.str().find("b  row 12  restored to service\n") != std::string::npos);
+    std::istringstream later(
+        R"({"time":"10:00:10","process":"agent-2","event":"lead_taken","epoch":3})");
+    report.read(later);
+    std::ostringstream unknown;
+    CHECK(report.print(unknown) == 2);
+    CHECK(unknown.str().find("switched off: yes") == std::string::npos);
+    CHECK(unknown.str().find("not known: the leader of epoch 3") != std::string::npos);
+}
+
 TEST_CASE("a trace of an unknown id prints nothing")
 {
     ctl::trace job_trace("nobody");
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -94,6 +94,11 @@
         {
             return;
         }
+        if (!this->faults.silent_table.empty() &&
+            query_of(request.target)["table"] == this->faults.silent_table)
+        {
+            return;
+        }
         if (this->faults.busy)
         {
             net::server_response response;
@@ -357,6 +362,8 @@
     {
         this->inner->feeds.clear();
     }
+    std::erase_if(this->inner->feeds, [&faults](const waiting_feed& waiting)
+                  { return waiting.table == faults.silent_table; });
 }
 
 void site_store::forget_history()
@@ -380,6 +387,17 @@
         });
 }
 
+void site_store::remove(const std::string& table, const std::string& key)
+{
+    this->inner->loop.post(
+        [self = this->inner, table, key]
+        {
+            const std::lock_guard lock(self->guard);
+            self->table[{table, "", key}] = {"", ++self->version, true};
+            self->wake_feeds();
+        });
+}
+
 std::uint64_t site_store::calls() const
 {
     return this->inner->call_count;
--- a/tests/standins/site_store.hpp
+++ b/tests/standins/site_store.hpp
@@ -27,6 +27,8 @@
     double lose_answers = 0;
     /// Lost writes take effect this much later.
     core::milliseconds late{};
+    /// No read of this table is answered; empty for none.
+    std::string silent_table;
 };
 
 /// Stand-in for the platform's metadata store, by its published protocol; in memory.
@@ -45,6 +47,8 @@
     /// Writes a row as the operators do, or another program.
     void put(const std::string& table, const std::string& key, const std::string& value,
              const std::string& partition = {});
+    /// Removes a row as the operators do.
+    void remove(const std::string& table, const std::string& key);
     /// @return calls so far.
     [[nodiscard]] std::uint64_t calls() const;
     /// @return rows of a table.
--- a/tests/standins/site_workers.cpp
+++ b/tests/standins/site_workers.cpp
@@ -118,7 +118,7 @@
             Poco::JSON::Object body;
             body.set("service", "svc");
             body.set("address", one.place.address);
-            body.set("zone", "z");
+            body.set("zone", one.place.zone);
             body.set("slots", 8);
             body.set("state", "ready");
             body.set("born", one.born);
@@ -317,6 +317,12 @@
                                             " over its accelerators");
         }
         ++this->seen.starts[unit];
+        ++this->seen.zone_starts[one.place.zone];
+        const auto bound = this->evacuated.find(one.place.zone);
+        if (bound != this->evacuated.end() && core::boot_clock::now() > bound->second)
+        {
+            this->seen.violations.push_back(unit + " starts in evacuated zone " + one.place.zone);
+        }
         this->gather(number, fresh.members);
         this->expire_lonely(one.place.id, unit, fresh.token);
         return "";
@@ -538,6 +544,8 @@
     worker_records seen;
     std::int64_t next_born = 1000;
     std::uint64_t next_token{};
+    /// Until when work may start in each evacuated zone.
+    std::map<std::string, core::instant> evacuated;
     int late_starts = 0;
     core::milliseconds lateness{};
 };
@@ -633,6 +641,18 @@
     this->inner->workers.at(id).lists_odd_rows = true;
 }
 
+void site_workers::evacuate(const std::string& zone, core::milliseconds limit)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->evacuated[zone] = core::boot_clock::now() + limit;
+}
+
+void site_workers::restore(const std::string& zone)
+{
+    const std::lock_guard lock(this->inner->guard);
+    this->inner->evacuated.erase(zone);
+}
+
 void site_workers::delay_starts(int count, core::milliseconds late)
 {
     const std::lock_guard lock(this->inner->guard);
--- a/tests/standins/site_workers.hpp
+++ b/tests/standins/site_workers.hpp
@@ -24,6 +24,7 @@
     std::string agent;
     std::string rack;
     std::int64_t accelerators = 8;
+    std::string zone = "z";
 };
 
 /// What the workers saw, over all of them.
@@ -43,6 +44,8 @@
     /// Until when each worker lets its runs continue, on the boot clock, by worker id.
     std::map<std::string, core::instant> leases;
     int alone = 0;
+    /// Starts by zone.
+    std::map<std::string, int> zone_starts;
 };
 
 /// Stand-ins for the users' workers, by their published protocol.
@@ -70,6 +73,10 @@
     void lose_responses(const std::string& id, bool lost);
     /// The worker lists a run and an end that cannot be read, besides its own.
     void list_odd_rows(const std::string& id);
+    /// Starts on the zone's workers later than @p limit from now are violations, until it is
+    /// restored.
+    void evacuate(const std::string& zone, core::milliseconds limit);
+    void restore(const std::string& zone);
     /// The next starts get no answer and are carried out after @p late.
     void delay_starts(int count, core::milliseconds late);
 
--- a/tests/support/batch_site.cpp
+++ b/tests/support/batch_site.cpp
@@ -43,8 +43,8 @@
 }
 
 batch_site::batch_site(int entry_count, int agent_count,
-                       const std::vector<std::string>& agent_flags, bool relays_store)
-    : folder(fresh_folder())
+                       const std::vector<std::string>& agent_flags, bool relays_store, int zones)
+    : folder(fresh_folder()), zones(zones)
 {
     const std::string store = free_address();
     this->table = std::make_unique<site_store>(this->loop, store);
@@ -54,6 +54,7 @@
         const std::string number = std::to_string(index);
         places.push_back(
             {"i-" + number, free_address(), free_address(), "r" + std::to_string(index / 2)});
+        places.back().zone = this->zone(index);
     }
     this->machines = std::make_unique<site_workers>(this->loop, places);
     this->thread = std::thread([this] { this->loop.run(); });
@@ -72,7 +73,7 @@
         const std::string store_address =
             relays_store ? this->store_links.back()->address() : store;
         std::vector<std::string> command{daemon_path(), "batch",       "--role",    "agent",
-                                         "--name",      name,          "--zone",    "z",
+                                         "--name",      name,          "--zone",    place.zone,
                                          "--region",    "r",           "--listen",  one.listen,
                                          "--control",   place.agent,   "--worker",  place.address,
                                          "--store",     store_address, "--metrics", one.metrics};
@@ -204,6 +205,11 @@
     return this->entries[static_cast<std::size_t>(entry)].metrics;
 }
 
+std::string batch_site::zone(int agent) const
+{
+    return this->zones == 1 ? "z" : "z" + std::to_string(agent / 2 % this->zones);
+}
+
 std::string batch_site::agent_address(int agent) const
 {
     return this->agents[static_cast<std::size_t>(agent)].listen;
--- a/tests/support/batch_site.hpp
+++ b/tests/support/batch_site.hpp
@@ -31,8 +31,10 @@
 public:
     /// @param agent_flags further flags of every agent.
     /// @param relays_store each agent reaches the store through a relay of its own.
+    /// @param zones the racks, of two workers each, are spread over this many availability zones,
+    ///        named "z" if there is one, else "z0" and so on.
     batch_site(int entries, int agents, const std::vector<std::string>& agent_flags = {},
-               bool relays_store = false);
+               bool relays_store = false, int zones = 1);
     ~batch_site();
     batch_site(const batch_site&) = delete;
     batch_site& operator=(const batch_site&) = delete;
@@ -59,6 +61,8 @@
     [[nodiscard]] std::string front(int entry) const;
     [[nodiscard]] std::string ready(int entry) const;
     [[nodiscard]] std::string metrics(int entry) const;
+    /// @return the zone of an agent and its worker.
+    [[nodiscard]] std::string zone(int agent) const;
     /// @return where an agent takes messages of other agents.
     [[nodiscard]] std::string agent_address(int agent) const;
     /// @return where an agent takes its worker's announcements.
@@ -88,6 +92,7 @@
 
     std::string folder;
     bool keeps = false;
+    int zones;
     net::event_loop loop;
     std::unique_ptr<site_store> table;
     std::unique_ptr<site_workers> machines;
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds calm_before_standstill{4000};
 // Time after the last run of a long-running unit from which its standstill counts.
 constexpr milliseconds long_running_grace{6000};
+// A start this long after a request to evacuate the zone breaks the promise to its operators.
+constexpr milliseconds evacuation_limit{5000};
 constexpr milliseconds hung_duration = std::chrono::hours{1};
 
 std::size_t at(std::int64_t index)
@@ -130,6 +132,7 @@
                 worker.info.capacity = this->shape.capacity;
                 worker.info.labels = {"a", "rack" + std::to_string(rack)};
                 worker.info.rack = core::rack_id(worker.info.labels.back());
+                worker.info.zone = core::zone_id("zone" + std::to_string(rack % this->shape.zones));
                 worker.lease = batch::worker_lease(this->shape.lease);
             }
         }
@@ -318,6 +321,10 @@
         batch::resource_amount capacity;
         for (const virtual_worker& worker : this->workers)
         {
+            if (this->evacuations.contains(worker.info.zone))
+            {
+                continue;
+            }
             used += this->used_on(worker);
             capacity += worker.info.draining ? batch::resource_amount{} : worker.info.capacity;
         }
@@ -333,7 +340,7 @@
         for (const virtual_worker& worker : this->workers)
         {
             const auto& labels = worker.info.labels;
-            if (worker.info.draining ||
+            if (worker.info.draining || this->evacuations.contains(worker.info.zone) ||
                 (!step.required_label.empty() &&
                  std::find(labels.begin(), labels.end(), step.required_label) == labels.end()))
             {
@@ -383,6 +390,7 @@
             }
         }
         this->writing = false;
+        this->scheduler->set_evacuated_zones(this->requested_zones(), this->now);
         for (std::size_t index = 0; index < this->workers.size(); ++index)
         {
             // The lead calls the agents that it knows.
@@ -390,6 +398,42 @@
         }
     }
 
+    [[nodiscard]] std::set<core::zone_id> requested_zones() const
+    {
+        std::set<core::zone_id> zones;
+        for (const auto& [zone, since] : this->evacuations)
+        {
+            zones.insert(zone);
+        }
+        return zones;
+    }
+
+    /// The leader reads the requests.
+    void read_requests()
+    {
+        if (this->scheduler != nullptr)
+        {
+            this->scheduler->set_evacuated_zones(this->requested_zones(), this->now);
+            this->pass();
+        }
+    }
+
+    void check_zone(const virtual_worker& worker, const unit_key& unit)
+    {
+        const auto request = this->evacuations.find(worker.info.zone);
+        if (request == this->evacuations.end())
+        {
+            return;
+        }
+        ++this->evacuated_starts;
+        if (this->now - request->second > evacuation_limit && worker.cut_until <= this->now)
+        {
+            this->broken(batch::to_text(unit) + " starts on " + worker.agent.str() + " " +
+                         std::to_string((this->now - request->second).count()) +
+                         " ms after the evacuation of its zone was requested");
+        }
+    }
+
     void follow(std::size_t index, std::uint64_t epoch)
     {
         virtual_worker& worker = this->workers[index];
@@ -820,6 +864,7 @@
         }
         this->extend(index, until);
         this->check_start(index, action);
+        this->check_zone(worker, action.unit);
         known_job& job = this->jobs.at(action.unit.job);
         const batch::step_spec& step = job.spec.steps[at(action.unit.step)];
         live_run run;
@@ -1171,6 +1216,9 @@
     std::vector<std::string> violations;
     std::map<unit_key, standstill> standstills;
     instant disturbed_until{};
+    /// Zones to be evacuated, with the time of the request.
+    std::map<core::zone_id, instant> evacuations;
+    int evacuated_starts{};
     instant delay_until{};
     double delay_share{};
     std::uint64_t next_token{};
@@ -1339,6 +1387,33 @@
                                 });
 }
 
+void virtual_site::evacuate(core::milliseconds at, const std::string& zone,
+                            core::milliseconds notice)
+{
+    this->inner->events.emplace(core::instant_at(at),
+                                [self = this->inner.get(), zone, notice]
+                                {
+                                    self->evacuations[core::zone_id(zone)] = self->now;
+                                    self->after(notice, [self] { self->read_requests(); });
+                                });
+}
+
+void virtual_site::restore(core::milliseconds at, const std::string& zone)
+{
+    this->inner->events.emplace(core::instant_at(at),
+                                [self = this->inner.get(), zone]
+                                {
+                                    self->evacuations.erase(core::zone_id(zone));
+                                    self->after(milliseconds{10},
+                                                [self] { self->read_requests(); });
+                                });
+}
+
+int virtual_site::starts_in_evacuated_zones() const
+{
+    return this->inner->evacuated_starts;
+}
+
 void virtual_site::store_out(core::milliseconds at, core::milliseconds length)
 {
     this->inner->events.emplace(core::instant_at(at),
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -32,6 +32,8 @@
     /// Time until a write is answered.
     core::milliseconds write_time{6};
     double remote_factor = 3;
+    /// The racks are spread over this many availability zones, named "zone0" and so on.
+    int zones = 1;
     batch::placement_weights weights;
     /// Agents confirm before work is started without writing where; off to show what that is for.
     bool guarded_takeover = true;
@@ -86,6 +88,11 @@
     /// A share of the starts gets no answer and is carried out seconds later.
     void delay_starts(core::milliseconds at, double share, core::milliseconds length);
     void drain(core::milliseconds at, int worker);
+    /// Operators request the evacuation of a zone; leaders learn of it after @p notice.
+    void evacuate(core::milliseconds at, const std::string& zone,
+                  core::milliseconds notice = core::milliseconds{10});
+    /// Operators withdraw the request.
+    void restore(core::milliseconds at, const std::string& zone);
     /// Nothing can be written.
     void store_out(core::milliseconds at, core::milliseconds length);
 
@@ -99,6 +106,8 @@
     [[nodiscard]] double wasted() const;
     /// @return decisions of the kind so far.
     [[nodiscard]] int decisions(const std::string& event) const;
+    /// @return starts in zones that were being evacuated.
+    [[nodiscard]] int starts_in_evacuated_zones() const;
     [[nodiscard]] core::instant now() const;
     [[nodiscard]] std::mt19937& random();
 
