Give a store fault of the stand-in a default

Cause: site_test names only some faults in its initializers, and warnings are errors.

Run: site_test passed (26 cases, 150 s); batch, batch_takeover, batch_site and logs tests passed.

--- a/tests/standins/site_store.hpp
+++ b/tests/standins/site_store.hpp
@@ -28,7 +28,7 @@
     /// Lost writes take effect this much later.
     core::milliseconds late{};
     /// No read of this table is answered; empty for none.
-    std::string silent_table;
+    std::string silent_table{};
 };
 
 /// Stand-in for the platform's metadata store, by its published protocol; in memory.
