Report how much work each stop or loss of a run throws away

Logs and metrics did not tell how much work preemption, stalls, lost workers and cancellations discard. The records run_stopped and run_ended now carry the core-seconds since the run's last checkpoint and the reason, and the metric thrown_away counts them by reason once the run has ended. The loss of a worker writes a run_ended for each of its runs. Decisions are unchanged.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -171,6 +171,42 @@
     std::string checkpoint;
 };
 
+/// Why work of a run was thrown away.
+enum class loss_reason
+{
+    /// Stopped for a reason without a value of its own.
+    stopped,
+    preempted,
+    stalled,
+    worker_lost,
+    worker_drained,
+    /// The run was missing from its worker's reports.
+    run_missing,
+    cancelled,
+    /// The job failed because of another unit.
+    job_failed,
+    /// The unit was done or had another run.
+    superseded,
+    gang_member_ended,
+    /// Not all members of the gang started.
+    gang_incomplete,
+    /// The unit itself failed.
+    failed,
+};
+
+/// @return the reason's text in logs and metrics.
+[[nodiscard]] std::string_view to_text(loss_reason reason) noexcept;
+
+/// Work of a run since its last checkpoint.
+struct lost_work
+{
+    /// An accelerator counts as 8 cores.
+    double core_seconds{};
+    loss_reason reason = loss_reason::stopped;
+    /// The run has ended, so the loss is final. Otherwise it is what the stop is expected to lose.
+    bool is_final = false;
+};
+
 /// Scheduling decision, for the log.
 struct decision_record
 {
@@ -184,6 +220,8 @@
     queue_id queue;
     /// Why the job waits, one of few fixed texts; set only for `job_waiting`.
     std::string_view reason{};
+    /// Set only for `run_stopped` and for a `run_ended` without success.
+    std::optional<lost_work> lost = std::nullopt;
 };
 
 /// Tunable weights of placement and preemption; the two weightings that users can choose differ in
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -184,7 +184,7 @@
         this->inner->record_decision("job_cancelled", job,
                                      std::to_string(found->second.active_runs) +
                                          " runs are being stopped");
-        this->inner->stop_job(job, "the job is cancelled");
+        this->inner->stop_job(job, "the job is cancelled", loss_reason::cancelled);
     }
 }
 
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -67,8 +67,9 @@
     void record_success(const agent_id& agent);
     void record_failure(const agent_id& agent, core::instant now);
     void remove_run_if_ended(run_number run, core::instant now);
-    void stop_run(run_state& run, std::string_view reason);
-    void stop_job(const core::job_id& job, std::string_view reason);
+    void stop_run(run_state& run, std::string_view reason,
+                  loss_reason cause = loss_reason::stopped);
+    void stop_job(const core::job_id& job, std::string_view reason, loss_reason cause);
     void check_completed(job_state& job);
     /// Records that the job has changed and must be persisted.
     void mark_changed(job_state& job);
@@ -76,6 +77,16 @@
     /// @return whether the checkpoint was stored.
     static bool update_checkpoint(unit_state& unit, const std::string& checkpoint);
 
+    // Work thrown away (scheduler_losses.cpp).
+    /// Notes a member's checkpoint, up to which no work is lost.
+    static void note_checkpoint(run_state& run, const std::string& checkpoint, core::instant now);
+    /// @return core-seconds of the member's work since the run's last checkpoint.
+    [[nodiscard]] double unsaved_work(const run_state& run, const run_member_state& member,
+                                      core::instant now) const;
+    /// Records the end of a member, with the work lost unless it succeeded.
+    void record_run_end(run_state& run, const run_member_state& member, run_outcome kind,
+                        std::string_view reason, const std::string& checkpoint, core::instant now);
+
     // Scheduling pass (scheduler_pass.cpp, scheduler_place.cpp, scheduler_preemption.cpp).
     std::vector<agent_command> schedule(core::instant now, unix_time wall_time,
                                         bool allow_unpersisted_starts);
@@ -214,6 +225,8 @@
     /// See site_scheduler::confirm_version().
     std::uint64_t confirmed_version = std::numeric_limits<std::uint64_t>::max();
     std::uint64_t next_run = 1;
+    /// Time of the last report or pass.
+    core::instant latest{};
     bool assume_unreported_runs = false;
     std::map<queue_id, queue_policy> queues;
     std::map<core::organisation_id, std::int64_t> guaranteed;
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -40,6 +40,7 @@
                                                                     unix_time wall_time,
                                                                     bool allow_unpersisted_starts)
 {
+    this->latest = now;
     this->expire_worker_leases(now);
     this->stop_stalled_runs(now);
     this->stop_incomplete_gangs(now);
@@ -132,7 +133,7 @@
             units[to_index(member.index)].failed_on.insert(member.agent);
             ++units[to_index(member.index)].stall_count;
         }
-        this->stop_run(run, "no progress within the stall timeout");
+        this->stop_run(run, "no progress within the stall timeout", loss_reason::stalled);
     }
 }
 
@@ -147,7 +148,8 @@
         }
         if (job->second.unreconciled_agents.empty() && now - run.started_at > gang_adoption_timeout)
         {
-            this->stop_run(run, "not all members of the adopted gang were reported in time");
+            this->stop_run(run, "not all members of the adopted gang were reported in time",
+                           loss_reason::gang_incomplete);
         }
     }
 }
--- a/src/batch/scheduler_preemption.cpp
+++ b/src/batch/scheduler_preemption.cpp
@@ -188,7 +188,8 @@
     }
     for (const run_number number : plan->preempted_runs)
     {
-        this->stop_run(this->runs.at(number), "preempted for job " + group.job->spec.id.str());
+        this->stop_run(this->runs.at(number), "preempted for job " + group.job->spec.id.str(),
+                       loss_reason::preempted);
     }
     if (!plan->preempted_runs.empty())
     {
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -47,6 +47,7 @@
 
 void site_scheduler::implementation::on_report(const worker_report& report, core::instant now)
 {
+    this->latest = now;
     worker_state& worker = this->get_or_create_worker(report.agent);
     worker.last_report_at = now;
     worker.reported = true;
@@ -165,11 +166,7 @@
 {
     if (end.outcome != run_outcome::succeeded || !end.reason.empty())
     {
-        this->record_decision("run_ended", run.job,
-                              to_text(end.unit) + " run " + std::to_string(run.number) + " on " +
-                                  member.agent.str() + ": " + std::string(to_text(end.outcome)) +
-                                  (end.reason.empty() ? "" : " (" + end.reason + ")") +
-                                  (end.checkpoint.empty() ? "" : ", checkpoint " + end.checkpoint));
+        this->record_run_end(run, member, end.outcome, end.reason, end.checkpoint, now);
     }
     this->end_member(run, member, end.outcome, end.checkpoint, member.agent, now);
 }
@@ -226,8 +223,10 @@
     member->missing_since.reset();
     if (reported.phase != run_phase::starting)
     {
+        member->confirmed_at = member->confirmed ? member->confirmed_at : now;
         member->confirmed = true;
     }
+    note_checkpoint(run->second, reported.checkpoint, now);
     member->phase = reported.phase;
     member->checkpoint = reported.checkpoint.empty() ? member->checkpoint : reported.checkpoint;
     const auto job = this->jobs.find(run->second.job);
@@ -260,6 +259,7 @@
         run.occurrence = reported.unit.occurrence;
         run.step = reported.unit.step;
         run.started_at = now;
+        run.adopted = true;
         if (has_job)
         {
             const step_spec& step = known->second.spec.steps[to_index(run.step)];
@@ -275,6 +275,7 @@
     member.worker = worker.index;
     member.command_sent = true;
     member.confirmed = reported.phase != run_phase::starting;
+    member.confirmed_at = now;
     member.phase = reported.phase;
     member.checkpoint = reported.checkpoint;
     member.progress_percent = reported.progress_percent;
@@ -284,7 +285,7 @@
     worker.runs.insert(reported.run);
     if (!has_job)
     {
-        this->stop_run(run, "the job or unit does not exist");
+        this->stop_run(run, "the job or unit does not exist", loss_reason::superseded);
         return;
     }
     job_state& job = known->second;
@@ -300,7 +301,8 @@
                             unit.expired_runs.contains(run.number);
     if (superseded || !job.is_active())
     {
-        this->stop_run(run, "the unit is done or has another run, or its job has ended");
+        this->stop_run(run, "the unit is done or has another run, or its job has ended",
+                       superseded ? loss_reason::superseded : loss_reason::cancelled);
         return;
     }
     job.checkpoint_dirty = update_checkpoint(unit, member.checkpoint) || job.checkpoint_dirty;
@@ -333,6 +335,8 @@
             }
             if (restarted)
             {
+                this->record_run_end(run, member, run_outcome::lease_expired,
+                                     "its worker has restarted", {}, now);
                 this->end_member(run, member, run_outcome::lease_expired, {}, worker.agent, now);
                 affected_runs.push_back(number);
             }
@@ -342,7 +346,8 @@
             }
             else if (now - *member.missing_since > missing_run_timeout)
             {
-                this->stop_run(run, "the run is missing from the worker's reports");
+                this->stop_run(run, "the run is missing from the worker's reports",
+                               loss_reason::run_missing);
             }
         }
     }
@@ -368,8 +373,8 @@
             if (member.agent == worker.agent && !member.ended && !member.confirmed &&
                 !listed.contains({number, member.index}))
             {
-                this->stop_run(run,
-                               "its worker drains, or the agent stops, and has not started it");
+                this->stop_run(run, "its worker drains, or the agent stops, and has not started it",
+                               loss_reason::worker_drained);
                 break;
             }
         }
@@ -402,6 +407,7 @@
         {
             if (member.agent == worker.agent && !member.ended)
             {
+                this->record_run_end(run, member, run_outcome::lease_expired, reason, {}, now);
                 this->end_member(run, member, run_outcome::lease_expired, {}, worker.agent, now);
                 affected_runs.push_back(number);
             }
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -95,7 +95,7 @@
     // The other members of a gang must neither run nor wait without this one.
     if (run.gang && kind != run_outcome::succeeded)
     {
-        this->stop_run(run, to_text(kind));
+        this->stop_run(run, to_text(kind), loss_reason::gang_member_ended);
     }
 }
 
@@ -148,7 +148,7 @@
         this->record_decision("job_failed", job.spec.id,
                               "unit " + to_text(unit_key{job.spec.id, occurrence, step, index}) +
                                   " failed " + std::to_string(unit.failed.size()) + " times");
-        this->stop_job(job.spec.id, "the job has failed");
+        this->stop_job(job.spec.id, "the job has failed", loss_reason::job_failed);
     }
 }
 
@@ -223,15 +223,19 @@
     step.ready_since = now;
 }
 
-void site_scheduler::implementation::stop_run(run_state& run, std::string_view reason)
+void site_scheduler::implementation::stop_run(run_state& run, std::string_view reason,
+                                              loss_reason cause)
 {
     if (run.stopping)
     {
         return;
     }
     run.stopping = true;
+    run.stop_reason = cause;
+    double unsaved = 0;
     for (run_member_state& member : run.members)
     {
+        unsaved += member.ended ? 0 : this->unsaved_work(run, member, this->latest);
         member.last_command_at = {};
         if (!member.ended && !member.command_sent)
         {
@@ -241,15 +245,17 @@
     this->record_decision("run_stopped", run.job,
                           "run " + std::to_string(run.number) + " of step " +
                               std::to_string(run.step) + ": " + std::string(reason));
+    this->records.back().lost = lost_work{unsaved, cause, /*is_final=*/false};
 }
 
-void site_scheduler::implementation::stop_job(const core::job_id& job, std::string_view reason)
+void site_scheduler::implementation::stop_job(const core::job_id& job, std::string_view reason,
+                                              loss_reason cause)
 {
     for (auto& [number, run] : this->runs)
     {
         if (run.job == job)
         {
-            this->stop_run(run, reason);
+            this->stop_run(run, reason, cause);
         }
     }
 }
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -117,6 +117,8 @@
     std::optional<core::instant> missing_since;
     std::string checkpoint;
     std::int64_t progress_percent{};
+    /// When the worker was first seen to have started the unit; valid if `confirmed`.
+    core::instant confirmed_at{};
     /// When `progress_percent` last changed.
     core::instant last_progress_at{};
 };
@@ -149,6 +151,13 @@
     bool gang_complete = true;
     /// When the run was placed, or adopted from an earlier leader.
     core::instant started_at{};
+    bool adopted = false;
+    /// Newest checkpoint of any member; valid for the whole run.
+    std::string newest_checkpoint;
+    /// When `newest_checkpoint` was received.
+    core::instant saved_at{};
+    /// Why the run is stopping; valid if `stopping`.
+    loss_reason stop_reason = loss_reason::stopped;
 
     [[nodiscard]] bool has_ended() const noexcept
     {
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -414,6 +414,11 @@
             this->context.metrics.increment("jobs_waiting", record.reason);
             continue;
         }
+        if (record.lost.has_value())
+        {
+            this->log_lost_work(record, *record.lost);
+            continue;
+        }
         events::write(record.event, {{"job", record.job.str()},
                                      {"detail", record.detail},
                                      {"epoch", this->my_epoch},
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -134,6 +134,8 @@
     /// reported for ten minutes.
     void trim();
     void log_records();
+    /// Logs the stop or end of a run with the work that it lost, and counts the work.
+    void log_lost_work(const batch::decision_record& record, const batch::lost_work& lost);
     /// Logs what the leader's time went to and what waits for it, once a second.
     void log_load();
     /// Logs when this leader begins or ceases to hold all scheduling, and why.
@@ -180,6 +182,8 @@
     core::instant tick_due{};
     core::instant write_sent_at{};
     leader_work work;
+    /// Lost work that is not counted yet, under one core-second a reason.
+    std::map<std::string_view, double> uncounted_loss;
     /// Reason that was logged last; empty while this leader schedules.
     std::string_view hold_reason;
     core::instant held_since{};
--- a/src/site/leader_load.cpp
+++ b/src/site/leader_load.cpp
@@ -2,6 +2,8 @@
 #include "site/leader.hpp"
 #include "support/events.hpp"
 
+#include <cmath>
+
 /// Part of the leader that logs its load.
 namespace chicorylift::site
 {
@@ -118,4 +120,26 @@
     this->hold_reason = reason;
 }
 
+void leader::log_lost_work(const batch::decision_record& record, const batch::lost_work& lost)
+{
+    const std::string_view reason = batch::to_text(lost.reason);
+    events::write(record.event, {{"job", record.job.str()},
+                                 {"detail", record.detail},
+                                 {"lost_core_s", std::int64_t{std::llround(lost.core_seconds)}},
+                                 {"lost_for", reason},
+                                 {"epoch", this->my_epoch},
+                                 {"config_version", this->config->version}});
+    this->context.metrics.increment("decisions", record.event);
+    if (!lost.is_final)
+    {
+        return;
+    }
+    // The counter takes whole core-seconds; what is left over counts with the next loss.
+    double& uncounted = this->uncounted_loss[reason];
+    uncounted += lost.core_seconds;
+    const double whole = std::floor(uncounted);
+    uncounted -= whole;
+    this->context.metrics.increment("thrown_away", reason, static_cast<std::uint64_t>(whole));
+}
+
 } // namespace chicorylift::site
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -461,6 +461,12 @@
         for (const batch::decision_record& record : this->scheduler->take_records())
         {
             ++this->decision_counts[std::string(record.event)];
+            this->records.push_back(record);
+            if (record.lost.has_value() && record.lost->is_final)
+            {
+                this->thrown_away[std::string(batch::to_text(record.lost->reason))] +=
+                    record.lost->core_seconds;
+            }
             const auto job = this->jobs.find(record.job);
             if (record.event == "job_waiting" && job != this->jobs.end())
             {
@@ -1076,6 +1082,12 @@
                            (static_cast<double>(step.per_unit.millicores) / thousand +
                             static_cast<double>(step.per_unit.accelerators * core_share));
         }
+        else
+        {
+            this->waited += static_cast<double>((this->now - run.present).count()) / thousand *
+                            (static_cast<double>(step.per_unit.millicores) / thousand +
+                             static_cast<double>(step.per_unit.accelerators * core_share));
+        }
         job.failures[run.unit] += kind == run_outcome::failed ? 1 : 0;
         this->after(milliseconds{2}, [this, index] { this->look(index); });
         if (run.gang)
@@ -1168,6 +1180,8 @@
     std::map<core::job_id, batch::job_progress> written;
     std::map<core::job_id, job_result> results;
     std::map<std::string, int> decision_counts;
+    std::vector<batch::decision_record> records;
+    std::map<std::string, double> thrown_away;
     std::vector<std::string> violations;
     std::map<unit_key, standstill> standstills;
     instant disturbed_until{};
@@ -1175,6 +1189,7 @@
     double delay_share{};
     std::uint64_t next_token{};
     double waste{};
+    double waited{};
     int alone{};
 };
 
@@ -1370,6 +1385,21 @@
     return this->inner->waste;
 }
 
+double virtual_site::waited_in_vain() const
+{
+    return this->inner->waited;
+}
+
+const std::map<std::string, double>& virtual_site::thrown_away() const
+{
+    return this->inner->thrown_away;
+}
+
+const std::vector<batch::decision_record>& virtual_site::records() const
+{
+    return this->inner->records;
+}
+
 int virtual_site::decisions(const std::string& event) const
 {
     const auto found = this->inner->decision_counts.find(event);
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -97,6 +97,12 @@
     [[nodiscard]] const std::map<core::job_id, job_result>& results() const;
     /// @return accelerator-seconds of work that was thrown away.
     [[nodiscard]] double wasted() const;
+    /// @return core-seconds for which members of gangs that never began waited for the others.
+    [[nodiscard]] double waited_in_vain() const;
+    /// @return core-seconds that the leaders reported as thrown away, by reason.
+    [[nodiscard]] const std::map<std::string, double>& thrown_away() const;
+    /// @return all decisions so far.
+    [[nodiscard]] const std::vector<batch::decision_record>& records() const;
     /// @return decisions of the kind so far.
     [[nodiscard]] int decisions(const std::string& event) const;
     [[nodiscard]] core::instant now() const;
