Do not preempt runs that the preemption plan does not need

The plan frees room for one unit after another on the cheapest worker. A run that was chosen for one unit stayed in the plan when a later run freed room for several units, so it was stopped although no placed unit used its room. The plan now drops, dearest first, each run without which all units still fit.

--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <map>
 #include <set>
 #include <string>
 #include <tuple>
@@ -155,6 +156,56 @@
     return result;
 }
 
+/// Leaves those of the chosen runs alone, dearest first, without which all units fit as well: a run
+/// that was chosen for one unit can become unnecessary when a later one frees room for several.
+/// @param workers workers with the room that the chosen runs free.
+/// @param chosen indices of the chosen runs.
+void drop_unneeded_victims(const step_spec& step, std::int64_t needed,
+                           std::vector<candidate_worker>& workers,
+                           const std::unordered_map<std::string, std::size_t>& position,
+                           const victim_pool& pool, std::vector<std::size_t>& chosen)
+{
+    std::vector<std::int64_t> fitting;
+    std::int64_t total = 0;
+    for (const candidate_worker& worker : workers)
+    {
+        total += fitting.emplace_back(units_fitting(step, worker, needed));
+    }
+    std::vector<std::size_t> by_cost = chosen;
+    std::stable_sort(by_cost.begin(), by_cost.end(),
+                     [&pool](std::size_t left, std::size_t right)
+                     { return pool.all()[left].cost > pool.all()[right].cost; });
+    for (const std::size_t index : by_cost)
+    {
+        std::map<std::size_t, candidate_worker> without;
+        for (const auto& [agent, freed] : pool.all()[index].frees)
+        {
+            const auto found = position.find(agent.str());
+            if (found != position.end())
+            {
+                without.try_emplace(found->second, workers[found->second]).first->second.free -=
+                    freed;
+            }
+        }
+        std::int64_t total_without = total;
+        for (const auto& [place, worker] : without)
+        {
+            total_without += units_fitting(step, worker, needed) - fitting[place];
+        }
+        if (total_without < needed)
+        {
+            continue;
+        }
+        total = total_without;
+        for (auto& [place, worker] : without)
+        {
+            fitting[place] = units_fitting(step, worker, needed);
+            workers[place] = std::move(worker);
+        }
+        std::erase(chosen, index);
+    }
+}
+
 /// Computes a preemption plan for the given workers only.
 std::optional<preemption_plan> plan_on_workers(const step_spec& step,
                                                const std::vector<std::int64_t>& units,
@@ -164,6 +215,7 @@
     const auto needed = static_cast<std::int64_t>(units.size());
     preemption_plan plan;
     std::vector<bool> chosen(pool.all().size(), false);
+    std::vector<std::size_t> chosen_victims;
     std::vector<victim_set> cheapest(workers.size());
     std::unordered_map<std::string, std::size_t> position;
     std::int64_t fitting = 0;
@@ -187,7 +239,7 @@
         {
             const victim& preempted = pool.all()[index];
             chosen[index] = true;
-            plan.preempted_runs.push_back(preempted.run);
+            chosen_victims.push_back(index);
             plan.cost += preempted.cost;
             for (const auto& [agent, freed] : preempted.frees)
             {
@@ -212,6 +264,13 @@
             cheapest[index] = victims_for_one_more_unit(step, workers[index], pool, chosen);
         }
     }
+    drop_unneeded_victims(step, needed, workers, position, pool, chosen_victims);
+    plan.cost = 0;
+    for (const std::size_t index : chosen_victims)
+    {
+        plan.preempted_runs.push_back(pool.all()[index].run);
+        plan.cost += pool.all()[index].cost;
+    }
     plan.placements = fill(step, units, workers);
     return plan;
 }
--- a/src/batch/placement.hpp
+++ b/src/batch/placement.hpp
@@ -92,7 +92,8 @@
 
 /// Selects runs to preempt, at low total cost, so that all units fit.
 ///
-/// Greedy: repeatedly frees resources for one more unit on the worker where that costs least.
+/// Greedy: repeatedly frees resources for one more unit on the worker where that costs least, and
+/// then drops the runs that turn out not to be needed.
 /// @param max_cost highest cost of a plan.
 /// @return the plan, or nothing if not all units fit even so.
 [[nodiscard]] std::optional<preemption_plan>
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <optional>
+#include <random>
 
 /// Unit tests of the batch scheduling decisions that need no processes or network.
 namespace
@@ -124,6 +125,83 @@
     CHECK(!plan_preemption(gang_of(3, 8), {0, 1, 2}, workers, victims, {}).has_value());
 }
 
+TEST_CASE("preemption stops no run whose room the placed units do not need")
+{
+    const std::vector<candidate_worker> workers{worker_with("a", "r", 0), worker_with("b", "r", 0)};
+    // The run on "a" costs least, but the one on "b" is needed anyway and frees enough.
+    const auto wide = plan_preemption(gang_of(4, 1), {0, 1, 2, 3}, workers,
+                                      std::vector<victim>{
+                                          {1, 5, {{agent_id("a"), {1000, 1000, 1}}}},
+                                          {2, 50, {{agent_id("b"), {8000, 8000, 4}}}},
+                                      },
+                                      {});
+    REQUIRE(wide.has_value());
+    CHECK(wide->preempted_runs == std::vector<run_number>{2});
+    CHECK(wide->cost == 50);
+    // The cheap run on the same worker frees too little and becomes unnecessary.
+    const auto large = plan_preemption(gang_of(1, 8), {0}, {worker_with("a", "r", 0)},
+                                       std::vector<victim>{
+                                           {1, 5, {{agent_id("a"), {1000, 1000, 1}}}},
+                                           {2, 50, {{agent_id("a"), {8000, 8000, 8}}}},
+                                       },
+                                       {});
+    REQUIRE(large.has_value());
+    CHECK(large->preempted_runs == std::vector<run_number>{2});
+}
+
+TEST_CASE("every run of a preemption plan is needed, for plans over random workers")
+{
+    std::mt19937 random(7);
+    const auto below = [&random](unsigned limit)
+    { return static_cast<std::int64_t>(random() % limit); };
+    int plans = 0;
+    for (int round = 0; round < 3000; ++round)
+    {
+        std::vector<candidate_worker> workers;
+        std::vector<victim> victims;
+        for (int number = 0; number < 5; ++number)
+        {
+            const std::string name(1, static_cast<char>('a' + number));
+            workers.push_back(worker_with(name, "r", below(3)));
+            for (std::int64_t run = below(4); run > 0; --run)
+            {
+                victim each{victims.size() + 1,
+                            static_cast<double>(1 + below(90)),
+                            {{agent_id(name), {1000, 1000, 1 + below(4)}}}};
+                if (below(4) == 0)
+                {
+                    // A gang with a member on another worker.
+                    each.frees.emplace_back(
+                        agent_id(std::string(1, static_cast<char>('a' + below(5)))),
+                        resource_amount{1000, 1000, 1 + below(4)});
+                }
+                victims.push_back(std::move(each));
+            }
+        }
+        std::vector<std::int64_t> units(static_cast<std::size_t>(1 + below(6)));
+        const step_spec step = gang_of(static_cast<std::int64_t>(units.size()), 1 + below(4));
+        const auto plan = plan_preemption(step, units, workers, victims, {});
+        plans += plan.has_value() ? 1 : 0;
+        for (std::size_t left_out = 0; plan.has_value() && left_out < plan->preempted_runs.size();
+             ++left_out)
+        {
+            std::vector<candidate_worker> freed = workers;
+            for (std::size_t index = 0; index < plan->preempted_runs.size(); ++index)
+            {
+                for (const auto& [agent, amount] : victims[plan->preempted_runs[index] - 1].frees)
+                {
+                    if (index != left_out)
+                    {
+                        freed[static_cast<std::size_t>(agent.str().front() - 'a')].free += amount;
+                    }
+                }
+            }
+            CHECK(!place_units(step, units, freed, {}).has_value());
+        }
+    }
+    CHECK(plans > 500);
+}
+
 TEST_CASE("a lease starts when the acknowledged report was sent")
 {
     worker_lease lease(milliseconds{5000});
