Order runs with the same expected end by their numbers

Cause: reserve_for() sorted pairs of an expected end and a pointer.

Change: a stable sort by the end alone keeps them in order of number.

--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -348,7 +348,10 @@
     {
         ends.emplace_back(this->expected_end(run, now), &run);
     }
-    std::sort(ends.begin(), ends.end());
+    // Runs with the same expected end stay in the order of their numbers. The order of their
+    // addresses would differ from one process to the next.
+    std::stable_sort(ends.begin(), ends.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
     const placement_constraints rules = this->constraints_for(group, now);
     std::vector<candidate_worker> candidates = this->candidate_workers(group, available, now);
     const auto free_after = [&](std::size_t count)
