Give the workers of virtual sites a speed

Cause: a site with workers of unequal speed, and units of the tail, could not be played in virtual time.

Change: site_shape::speeds, job_truth::tail_units, and the setting learn_run_times, off by default. Work and checkpoints count as time at speed 1; a gang goes at the speed of its slowest member.

--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -38,6 +38,11 @@
     return static_cast<std::size_t>(index);
 }
 
+milliseconds times(milliseconds time, double factor)
+{
+    return milliseconds{static_cast<std::int64_t>(static_cast<double>(time.count()) * factor)};
+}
+
 std::string checkpoint_text(milliseconds progress)
 {
     std::array<char, 24> text{};
@@ -54,7 +59,9 @@
     instant began{};
     instant present{};
     milliseconds before{};
+    /// Work, and work that a checkpoint has saved, as time at speed 1.
     milliseconds needed{};
+    double speed = 1;
     std::uint64_t token{};
     bool stopping = false;
 };
@@ -362,6 +369,7 @@
         settings.lease_timeout = this->shape.lease + milliseconds{450};
         settings.remote_factor = this->shape.remote_factor;
         settings.weights = this->shape.weights;
+        settings.learn_run_times = this->shape.learn_run_times;
         this->epoch = epoch;
         this->scheduler = std::make_unique<batch::site_scheduler>(settings, this->now);
         this->scheduler->set_policies(this->queues, this->guaranteed);
@@ -830,10 +838,15 @@
         run.before = action.checkpoint.empty() ? milliseconds{0}
                                                : milliseconds{std::stoll(action.checkpoint)};
         run.needed = job.truth.durations[at(action.unit.step)];
+        if (action.unit.step == 0 && job.truth.tail_units.contains(action.unit.index))
+        {
+            run.needed = times(run.needed, job.truth.tail_factor);
+        }
         if (!step.data_rack.empty() && worker.info.rack.str() != step.data_rack)
         {
             run.needed = this->far(run.needed);
         }
+        run.speed = this->speed_of(index);
         run.token = ++this->next_token;
         worker.runs[key] = run;
         job_result& result = this->results[action.unit.job];
@@ -869,8 +882,12 @@
 
     [[nodiscard]] milliseconds far(milliseconds duration) const
     {
-        return milliseconds{static_cast<std::int64_t>(static_cast<double>(duration.count()) *
-                                                      this->shape.remote_factor)};
+        return times(duration, this->shape.remote_factor);
+    }
+
+    [[nodiscard]] double speed_of(std::size_t worker) const
+    {
+        return worker < this->shape.speeds.size() ? this->shape.speeds[worker] : 1;
     }
 
     void check_start(std::size_t index, const batch::worker_command& action)
@@ -947,9 +964,19 @@
         }
         if (static_cast<std::int64_t>(members.size()) == step.units)
         {
+            double slowest = std::numeric_limits<double>::infinity();
+            milliseconds longest{};
+            for (const auto& [index, key] : members)
+            {
+                slowest = std::min(slowest, this->speed_of(index));
+                longest = std::max(longest, this->workers[index].runs.at(key).needed);
+            }
             for (const auto& [index, key] : members)
             {
                 live_run& run = this->workers[index].runs.at(key);
+                run.speed = slowest;
+                run.needed =
+                    this->jobs.at(unit.job).truth.tail_units.empty() ? run.needed : longest;
                 if (step.rack_local && racks.size() > 1)
                 {
                     run.needed = this->far(run.needed);
@@ -989,7 +1016,8 @@
         const known_job& job = this->jobs.at(run.unit.job);
         const bool fails = job.truth.poison || this->workers[index].fails_until > this->now;
         const milliseconds left =
-            fails ? milliseconds{200} : std::max(run.needed - run.before, milliseconds{1});
+            fails ? milliseconds{200}
+                  : std::max(times(run.needed - run.before, 1 / run.speed), milliseconds{1});
         this->after(left,
                     [this, index, key, token = run.token, fails]
                     {
@@ -1010,7 +1038,7 @@
             return run.before;
         }
         const milliseconds worked = this->now - run.began;
-        return run.needed >= hung_duration ? run.before : run.before + worked;
+        return run.needed >= hung_duration ? run.before : run.before + times(worked, run.speed);
     }
 
     [[nodiscard]] std::string saved_of(const live_run& run, bool at_stop) const
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -33,6 +33,9 @@
     core::milliseconds write_time{6};
     double remote_factor = 3;
     batch::placement_weights weights;
+    /// Speed of each worker; 1 for those beyond its end. A gang's members go at the slowest's.
+    std::vector<double> speeds;
+    bool learn_run_times = false;
     /// Agents confirm before work is started without writing where; off to show what that is for.
     bool guarded_takeover = true;
 };
@@ -44,6 +47,9 @@
     std::vector<core::milliseconds> durations;
     /// Every run of the job fails.
     bool poison = false;
+    /// Units of the first step that take `tail_factor` times as long.
+    std::set<std::int64_t> tail_units = {};
+    double tail_factor = 7;
 };
 
 /// What became of a job.
