Use learned run times and worker speeds in scheduling

Cause: the expected end of runs, reservations, backfill windows and stall limits used the declared time on every worker, and placement did not know that one worker takes twice as long as another.

Urgent units and gangs take fast workers first, others slow ones unless their job would be late; a gang that needs a slow worker leaves the fast ones to others. Nothing waits for a fast worker. expected_remaining() is the one answer for what a run still takes. Events worker_speed and run_time_ignored, metrics run_time_expected and run_time_actual.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -186,6 +186,14 @@
     std::string_view reason{};
 };
 
+/// Expected and actual run time of a unit or gang that succeeded, for the metrics.
+struct run_time_sample
+{
+    queue_id queue;
+    core::milliseconds expected{};
+    core::milliseconds actual{};
+};
+
 /// Tunable weights of placement and preemption; the two weightings that users can choose differ in
 /// these values only.
 struct placement_weights
@@ -335,6 +343,9 @@
     [[nodiscard]] std::size_t placement_attempts() const noexcept;
     /// @return the decisions since the last call, for the log; clears them.
     [[nodiscard]] std::vector<decision_record> take_records();
+    /// @return the run times learned since the last call; clears them. Empty unless
+    ///         `learn_run_times` is set.
+    [[nodiscard]] std::vector<run_time_sample> take_run_times();
 
 private:
     struct implementation;
--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -63,7 +63,7 @@
 }
 
 /// Fills the workers one by one: those without recent failures first, then those in the data rack,
-/// then those with the fewest free resources.
+/// then those of the preferred speed, then those with the fewest free resources.
 /// @return placements of as many units as fit.
 std::vector<unit_placement> fill(const step_spec& step, const std::vector<std::int64_t>& units,
                                  const std::vector<candidate_worker>& workers)
@@ -80,7 +80,7 @@
     { return !step.data_rack.empty() && worker.rack.str() != step.data_rack; };
     const auto key = [&off_data_rack](const candidate_worker& worker)
     {
-        return std::tuple(worker.has_recent_failures, off_data_rack(worker),
+        return std::tuple(worker.has_recent_failures, off_data_rack(worker), worker.speed_order,
                           worker.free.accelerators, worker.free.millicores,
                           std::cref(worker.agent));
     };
@@ -99,6 +99,42 @@
     return placed;
 }
 
+/// @return the worst candidate_worker::speed_order among the workers of the placements.
+int worst_speed_order(const std::vector<unit_placement>& placed,
+                      const std::vector<candidate_worker>& workers)
+{
+    int worst = std::numeric_limits<int>::min();
+    for (const candidate_worker& worker : workers)
+    {
+        const bool is_used = std::any_of(placed.begin(), placed.end(),
+                                         [&worker](const unit_placement& placement)
+                                         { return placement.worker == worker.index; });
+        worst = is_used ? std::max(worst, worker.speed_order) : worst;
+    }
+    return worst;
+}
+
+/// Places a gang as fill() does. A gang ends with its slowest member: if it does not fit without
+/// slow workers, it takes as many of those as possible and leaves the others to other work.
+std::vector<unit_placement> fill_gang(const step_spec& step, const std::vector<std::int64_t>& units,
+                                      const std::vector<candidate_worker>& workers)
+{
+    std::vector<unit_placement> placed = fill(step, units, workers);
+    const bool speeds_differ =
+        std::any_of(workers.begin(), workers.end(),
+                    [](const candidate_worker& worker) { return worker.speed_order != 0; });
+    if (!speeds_differ || worst_speed_order(placed, workers) <= 0)
+    {
+        return placed;
+    }
+    std::vector<candidate_worker> slow_first = workers;
+    for (candidate_worker& worker : slow_first)
+    {
+        worker.speed_order = -worker.speed_order;
+    }
+    return fill(step, units, slow_first);
+}
+
 /// @return the placements, or nothing if not all units fit.
 std::optional<std::vector<unit_placement>> fill_all(const step_spec& step,
                                                     const std::vector<std::int64_t>& units,
@@ -110,7 +146,11 @@
     {
         fitting += units_fitting(step, worker, needed);
     }
-    return fitting < needed ? std::nullopt : std::optional(fill(step, units, workers));
+    if (fitting < needed)
+    {
+        return std::nullopt;
+    }
+    return step.gang ? fill_gang(step, units, workers) : fill(step, units, workers);
 }
 
 /// Runs whose preemption makes one more unit fit on a worker. Empty, at infinite cost, if none do.
@@ -264,17 +304,28 @@
         return fill_all(step, units, workers);
     }
     std::optional<std::vector<unit_placement>> best;
-    std::tuple<bool, std::int64_t> best_key;
+    std::tuple<bool, int, std::int64_t> best_key;
     for (const std::vector<candidate_worker>& local : by_rack(workers))
     {
-        const std::tuple key(has_data_rack && local.front().rack.str() != step.data_rack,
-                             free_accelerators(local));
-        if (best.has_value() && key >= best_key)
+        const bool off_data_rack = has_data_rack && local.front().rack.str() != step.data_rack;
+        int best_order = std::numeric_limits<int>::max();
+        for (const candidate_worker& worker : local)
+        {
+            best_order = std::min(best_order, worker.speed_order);
+        }
+        if (best.has_value() &&
+            std::tuple(off_data_rack, best_order, free_accelerators(local)) >= best_key)
         {
             continue;
         }
         auto placed = fill_all(step, units, local);
-        if (placed.has_value())
+        if (!placed.has_value())
+        {
+            continue;
+        }
+        const std::tuple key(off_data_rack, worst_speed_order(*placed, local),
+                             free_accelerators(local));
+        if (!best.has_value() || key < best_key)
         {
             best = std::move(placed);
             best_key = key;
--- a/src/batch/placement.hpp
+++ b/src/batch/placement.hpp
@@ -27,6 +27,9 @@
     bool has_recent_failures = false;
     /// Speed relative to the service's typical worker; see run_time_model::speed_of().
     double speed = 1;
+    /// Workers with a lower value are preferred, for their speed: fast ones first for urgent work
+    /// and gangs, slow ones first for other units. 0 for workers of typical or unknown speed.
+    int speed_order = 0;
     /// The worker is cold, or its zone was lately restored to service; others are preferred.
     bool warming_up = false;
 };
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -406,4 +406,9 @@
     return taken;
 }
 
+std::vector<run_time_sample> site_scheduler::take_run_times()
+{
+    return std::exchange(this->inner->samples, {});
+}
+
 } // namespace chicorylift::batch
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "batch/placement.hpp"
 #include "batch/site_state.hpp"
+#include "chicorylift/batch/run_time_model.hpp"
 
 #include <limits>
 #include <map>
@@ -21,7 +22,8 @@
 struct site_scheduler::implementation
 {
     implementation(scheduler_settings settings, core::instant takeover)
-        : settings(settings), takeover(takeover), leases_counted_from(takeover)
+        : settings(settings), takeover(takeover), leases_counted_from(takeover),
+          run_times(settings.learn_run_times ? std::make_unique<run_time_model>() : nullptr)
     {
     }
 
@@ -168,6 +170,35 @@
     void sum_urgent_demand();
     [[nodiscard]] bool is_guaranteed(const job_state& job) const;
 
+    // Learned run times and worker speeds (scheduler_run_times.cpp).
+    [[nodiscard]] run_kind kind_of(const job_state& job, std::int64_t step) const;
+    /// @return whether the run is away from its data, or a rack-local gang spans racks.
+    [[nodiscard]] bool is_remote(const run_state& run, const step_spec& step) const;
+    /// @return the speed of the run's slowest worker; 1 unless run times are learned.
+    [[nodiscard]] double slowest_speed(const run_state& run) const;
+    /// @return the expected run time of the group's units on a typical worker: as learned, else as
+    ///         declared.
+    [[nodiscard]] core::milliseconds expected_total(const placement_group& group) const;
+    /// @return the expected remaining time of a run of the job: as learned, else as declared.
+    [[nodiscard]] core::milliseconds expected_remaining(const run_state& run, const job_state& job,
+                                                        core::instant now) const;
+    /// @return the remaining time of a run by its declared estimate and progress.
+    [[nodiscard]] static core::milliseconds
+    declared_remaining(const run_state& run, const step_spec& step, core::instant now);
+    /// @return the speed below which a worker is avoided for the group: infinite for urgent units
+    ///         and gangs, and on a service with spare capacity; for others, which leave fast
+    ///         workers to these, the speed at which their job is just on time.
+    [[nodiscard]] double needed_speed(const placement_group& group, core::instant now) const;
+    void learn_from_progress(worker_state& worker, const run_state& run, run_member_state& member,
+                             const reported_run& reported, core::instant now);
+    void learn_from_end(worker_state& worker, run_state& run, const run_member_state& member,
+                        const reported_end& end, core::instant now);
+    void update_speed(worker_state& worker);
+    void forget_speed(worker_state& worker);
+    /// Records a reported value that is not plausible, at most once a second.
+    void record_ignored_value(const worker_state& worker, const run_state& run,
+                              const std::string& value, core::instant now);
+
     // Waiting jobs (scheduler_waits.cpp).
     /// What a job waits for: agents that have not reported, a group without room, or a run that
     /// does not start or stop or is not seen, in this order.
@@ -245,6 +276,11 @@
     std::size_t placement_attempts{};
     core::instant next_wait_check{};
     std::vector<decision_record> records;
+    /// Unless run times are learned, null.
+    std::unique_ptr<run_time_model> run_times;
+    std::vector<run_time_sample> samples;
+    std::size_t ignored_values{};
+    core::instant next_ignored_line{};
 };
 
 } // namespace chicorylift::batch
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -25,11 +25,14 @@
 // worker reports no progress at all can still finish.
 constexpr int max_timeout_doublings = 6;
 
+/// @param speed speed of the run's slowest worker. A slow one is given more time; a fast one not
+///        less, since nothing is lost by it.
 /// @return how long a run may go without progress; doubles with each earlier stall of its unit.
-core::milliseconds stall_timeout(const step_spec& step, int stall_count)
+core::milliseconds stall_timeout(const step_spec& step, double speed, int stall_count)
 {
-    const core::milliseconds estimate_share{static_cast<std::int64_t>(
-        static_cast<double>(step.estimate.count()) * stall_timeout_fraction)};
+    const core::milliseconds estimate_share{
+        static_cast<std::int64_t>(static_cast<double>(step.estimate.count()) *
+                                  stall_timeout_fraction / std::min(speed, 1.0))};
     return std::max(min_stall_timeout, estimate_share) *
            (1 << std::min(stall_count, max_timeout_doublings));
 }
@@ -109,8 +112,8 @@
         const step_spec& step = job->second.spec.steps[to_index(run.step)];
         std::vector<unit_state>& units =
             job->second.occurrences[run.occurrence][to_index(run.step)].units;
-        const core::milliseconds allowed =
-            stall_timeout(step, units[to_index(run.members.front().index)].stall_count);
+        const core::milliseconds allowed = stall_timeout(
+            step, this->slowest_speed(run), units[to_index(run.members.front().index)].stall_count);
         bool stalled = !step.long_running;
         for (const run_member_state& member : run.members)
         {
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -15,13 +15,18 @@
 {
 
 constexpr std::uint64_t runs_per_epoch = 1U << 20U;
-// Lower bound of the remaining time computed from a run's estimate. A run that has exceeded its
-// estimate is expected to end after this time.
-constexpr core::milliseconds min_remaining_time{500};
 // On a service with spare capacity, a group waits no longer than this for better room than there
 // is. With the start it must stay below the 3 s for which a job may stand still.
 constexpr core::milliseconds max_wait_beside_spare{1500};
 
+/// @return a typical worker's time on a worker of the given speed.
+core::milliseconds at_speed(core::milliseconds time, double speed)
+{
+    return speed == 1 ? time
+                      : core::milliseconds{
+                            static_cast<std::int64_t>(static_cast<double>(time.count()) / speed)};
+}
+
 /// @return resources as cores, accelerators included.
 double core_equivalents(const resource_amount& amount)
 {
@@ -122,6 +127,7 @@
         failed_on.insert(failed.begin(), failed.end());
     }
     const bool any_room = this->waits_beside_spare(group, now);
+    std::optional<double> needed_speed;
     std::vector<candidate_worker> candidates;
     candidates.reserve(this->workers.size());
     for (const auto& [id, worker] : this->workers)
@@ -137,6 +143,13 @@
         candidate.free = available[worker.index];
         candidate.index = worker.index;
         candidate.step_units = units_per_worker.empty() ? 0 : units_per_worker[worker.index];
+        candidate.speed = worker.speed;
+        if (worker.speed != 1)
+        {
+            needed_speed = needed_speed.value_or(this->needed_speed(group, now));
+            const bool slow_first = worker.speed >= *needed_speed;
+            candidate.speed_order = (worker.speed < 1) == slow_first ? -1 : 1;
+        }
         candidate.has_recent_failures = worker.failure_history.failures > 0 ||
                                         worker.failure_history.quarantined_until > now ||
                                         (!failed_on.empty() && failed_on.contains(id));
@@ -323,18 +336,8 @@
         return now;
     }
     const step_spec& step = job->second.spec.steps[to_index(run.step)];
-    core::milliseconds remaining =
-        std::max<core::milliseconds>(step.estimate - (now - run.started_at), min_remaining_time);
-    for (const run_member_state& member : run.members)
-    {
-        if (member.progress_percent > 0 && member.progress_percent < whole_percent)
-        {
-            remaining =
-                std::min(remaining,
-                         step.estimate * (whole_percent - member.progress_percent) / whole_percent);
-        }
-    }
-    return step.long_running ? core::instant::max() : now + remaining;
+    return step.long_running ? core::instant::max()
+                             : now + this->expected_remaining(run, job->second, now);
 }
 
 void site_scheduler::implementation::reserve_for(const placement_group& group,
@@ -415,16 +418,18 @@
                                                         std::vector<candidate_worker>& candidates,
                                                         core::instant now) const
 {
-    if (group.guaranteed || group.room_promised || this->waits_beside_spare(group, now))
+    if (this->backfill_reservations.empty() || group.guaranteed || group.room_promised ||
+        this->waits_beside_spare(group, now))
     {
         return;
     }
-    const core::instant end = now + this->spec_of(group).estimate;
+    const core::milliseconds expected = this->expected_total(group);
     for (candidate_worker& candidate : candidates)
     {
         const auto reservation = this->backfill_reservations.find(candidate.index);
         if (reservation == this->backfill_reservations.end() ||
-            reservation->second.job == group.job->spec.id || end <= reservation->second.until)
+            reservation->second.job == group.job->spec.id ||
+            now + at_speed(expected, candidate.speed) <= reservation->second.until)
         {
             continue;
         }
@@ -458,12 +463,15 @@
                                             resources_by_worker& available, core::instant now)
 {
     const resource_amount request = this->spec_of(group).resource_request();
+    const core::milliseconds expected =
+        this->backfill_reservations.empty() ? core::milliseconds{} : this->expected_total(group);
     for (const unit_placement& placement : placements)
     {
         available[placement.worker] -= request;
         const auto reservation = this->backfill_reservations.find(placement.worker);
         if (reservation != this->backfill_reservations.end() &&
-            now + this->spec_of(group).estimate > reservation->second.until)
+            now + at_speed(expected, this->workers[placement.agent].speed) >
+                reservation->second.until)
         {
             reservation->second.spare -= request;
         }
@@ -588,6 +596,10 @@
                 command.payload = job->second.spec.payload;
                 command.checkpoint = unit.checkpoint;
             }
+            if (!run.stopping && !member.command_sent && command.checkpoint.empty())
+            {
+                member.whole_since = now;
+            }
             member.command_sent = true;
             member.last_command_at = now;
             commands.push_back(std::move(command));
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -61,6 +61,7 @@
         worker.pending_ends.clear();
         worker.highest_end = 0;
         worker.failure_history = {};
+        this->forget_speed(worker);
     }
     if (!report.lists_valid)
     {
@@ -147,6 +148,7 @@
         run == this->runs.end() ? nullptr : find_member(run->second, end.unit, worker.agent);
     if (member != nullptr && !member->ended)
     {
+        this->learn_from_end(worker, run->second, *member, end, now);
         this->on_known_run_end(run->second, *member, end, now);
     }
     else if (member == nullptr)
@@ -239,6 +241,7 @@
         job->second.checkpoint_dirty =
             update_checkpoint(unit, member->checkpoint) || job->second.checkpoint_dirty;
     }
+    this->learn_from_progress(worker, run->second, *member, reported, now);
     if (reported.progress_percent != member->progress_percent ||
         reported.phase != run_phase::running)
     {
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -119,6 +119,21 @@
     std::int64_t progress_percent{};
     /// When `progress_percent` last changed.
     core::instant last_progress_at{};
+    /// Progress at one time.
+    struct progress_mark
+    {
+        std::int64_t percent{};
+        core::instant at{};
+    };
+    /// Since when the worker does the whole work: when the start was first sent. Unset for runs
+    /// that resume from a checkpoint or were adopted from an earlier leader.
+    std::optional<core::instant> whole_since;
+    /// First progress that was reported to this leader.
+    std::optional<progress_mark> first_progress;
+    /// Up to here, progress has been used to estimate the worker's speed.
+    progress_mark speed_mark;
+    /// Sum of the progress that was used so.
+    std::int64_t compared_percent{};
 };
 
 /// @return the steps of one occurrence, which is created if it does not exist.
@@ -149,6 +164,8 @@
     bool gang_complete = true;
     /// When the run was placed, or adopted from an earlier leader.
     core::instant started_at{};
+    /// Its run time has been recorded; a gang's is once.
+    bool learned = false;
 
     [[nodiscard]] bool has_ended() const noexcept
     {
@@ -194,6 +211,8 @@
     /// Highest sequence number of an ended run that was processed.
     std::uint64_t highest_end{};
     worker_failure_history failure_history;
+    /// See run_time_model::speed_of(); 1 unless run times are learned.
+    double speed = 1;
     /// Runs with members on the worker that have not been removed.
     std::set<run_number> runs;
 };
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -425,6 +425,12 @@
                                           record.queue.str(), *record.waited);
         }
     }
+    // By queue only: a series for each organisation and queue would use up the series' limit.
+    for (const batch::run_time_sample& sample : this->scheduler.take_run_times())
+    {
+        this->context.metrics.observe("run_time_expected", "", sample.queue.str(), sample.expected);
+        this->context.metrics.observe("run_time_actual", "", sample.queue.str(), sample.actual);
+    }
 }
 
 void leader::send_orders(const std::vector<batch::agent_command>& orders)
