Order waiting groups by the value that callers can still get

A missed objective ranked last for good, although callers get something up to three times the objective, and the order by waiting time ignored what a job yields for the capacity that it takes.

The largest tenth of a queue goes first while it is served less than 0.55 as often as the queue, counted from the jobs that the leader knows, so that a new leader continues. The age of a job that an earlier leader saw comes from the time of its acceptance; a wrong clock cannot make it hopeless.

Without the setting, ranks are computed as before.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "batch/placement.hpp"
 #include "batch/site_state.hpp"
+#include "chicorylift/batch/group_order.hpp"
 
 #include <limits>
 #include <map>
@@ -15,6 +16,9 @@
 namespace chicorylift::batch
 {
 
+/// Distance between the rank ranges of two priorities. Guaranteed groups rank before all others.
+inline constexpr double priority_band = 1e9;
+
 /// @return key of the group's preemption reservation: its first unit.
 [[nodiscard]] unit_key reservation_key(const placement_group& group);
 
@@ -88,6 +92,19 @@
     std::vector<placement_group> ready_groups(core::instant now, unix_time wall_time);
     void compute_rank(placement_group& group, core::instant now) const;
     void place_groups(std::vector<placement_group>& groups, core::instant now);
+
+    // Order of groups by value (scheduler_order.cpp).
+    /// Replaces the ranks of groups that are not guaranteed.
+    void rank_by_value(std::vector<placement_group>& groups, core::instant now,
+                       unix_time wall_time);
+    /// @return the capacity of the workers that take work.
+    [[nodiscard]] std::map<core::service_id, resource_amount> capacity_by_service() const;
+    /// @return time since the job was accepted, or since its occurrence was due.
+    static core::milliseconds age_of(job_state& job, std::int64_t occurrence, core::instant now,
+                                     unix_time wall_time);
+    [[nodiscard]] std::map<queue_id, queue_service> service_by_queue(core::instant now,
+                                                                     unix_time wall_time);
+
     /// Places the group and begins its run, if all its units fit.
     /// @return whether the group was placed.
     bool place_group(const placement_group& group, resources_by_worker& available,
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -250,6 +250,10 @@
             }
         }
     }
+    if (this->settings.order_by_value)
+    {
+        this->rank_by_value(groups, now, wall_time);
+    }
     std::stable_sort(groups.begin(), groups.end(),
                      [](const placement_group& left, const placement_group& right)
                      { return left.rank < right.rank; });
@@ -278,10 +282,8 @@
 
 void site_scheduler::implementation::compute_rank(placement_group& group, core::instant now) const
 {
-    // Distance between the rank ranges of two priorities. Guaranteed groups rank before all others.
     // Within a priority, groups that missed their objective rank last, and groups that are due a
     // reservation rank before those that are not.
-    constexpr double priority_band = 1e9;
     const job_state& job = *group.job;
     group.guaranteed = this->is_guaranteed(job);
     const double waited = static_cast<double>((group.waiting_since - this->takeover).count());
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -72,7 +72,12 @@
     /// The queue's policy in the newest configuration.
     queue_policy policy;
     std::map<std::int64_t, std::vector<step_state>> occurrences;
+    /// When this leader first saw the job.
     core::instant arrived{};
+    /// The job's age then, by the time of day; not set before it is first needed.
+    std::optional<core::milliseconds> age_at_arrival;
+    /// The job was hopeless when one of its groups last waited; see urgency_of().
+    bool was_hopeless = false;
     job_origin origin = job_origin::earlier_leader;
     std::uint64_t accepted_version{};
     job_outcome outcome = job_outcome::unfinished;
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -362,6 +362,8 @@
         settings.lease_timeout = this->shape.lease + milliseconds{450};
         settings.remote_factor = this->shape.remote_factor;
         settings.weights = this->shape.weights;
+        settings.order_by_value = this->shape.order_by_value;
+        settings.fair_shares = this->shape.fair_shares;
         this->epoch = epoch;
         this->scheduler = std::make_unique<batch::site_scheduler>(settings, this->now);
         this->scheduler->set_policies(this->queues, this->guaranteed);
@@ -1203,6 +1205,7 @@
                                 {
                                     known_job& known = self->jobs.at(id);
                                     known.accepted = true;
+                                    known.spec.accepted = self->now.time_since_epoch();
                                     self->results[id].accepted = self->now;
                                     if (self->scheduler != nullptr)
                                     {
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -33,6 +33,8 @@
     core::milliseconds write_time{6};
     double remote_factor = 3;
     batch::placement_weights weights;
+    bool order_by_value = false;
+    bool fair_shares = false;
     /// Agents confirm before work is started without writing where; off to show what that is for.
     bool guarded_takeover = true;
 };
