Order groups of a priority by what their organisations hold

Beyond the guarantees, nothing kept one organisation from holding all capacity of a priority.

What an organisation holds is recomputed from the running work in each pass, plus what comes before the group in the same pass, so that a new leader is fair at once. The weight is the guarantee relative to the mean guarantee, plus one. Nothing is kept idle, and guaranteed groups keep their order.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "batch/placement.hpp"
 #include "batch/site_state.hpp"
+#include "chicorylift/batch/fair_share.hpp"
 #include "chicorylift/batch/group_order.hpp"
 
 #include <limits>
@@ -97,6 +98,14 @@
     /// Replaces the ranks of groups that are not guaranteed.
     void rank_by_value(std::vector<placement_group>& groups, core::instant now,
                        unix_time wall_time);
+    /// Organisations share the capacity of a service within a priority.
+    using share_scope = std::pair<core::service_id, std::int64_t>;
+    [[nodiscard]] std::map<share_scope, organisation_shares>
+    shares_held(const std::vector<placement_group>& groups,
+                const std::map<core::service_id, resource_amount>& capacities) const;
+    /// Within each range of ranks, moves groups of organisations that hold more than their share
+    /// behind others; keeps the order otherwise.
+    void order_by_share(std::vector<placement_group>& groups) const;
     /// @return the capacity of the workers that take work.
     [[nodiscard]] std::map<core::service_id, resource_amount> capacity_by_service() const;
     /// @return time since the job was accepted, or since its occurrence was due.
--- a/src/batch/scheduler_order.cpp
+++ b/src/batch/scheduler_order.cpp
@@ -1,5 +1,6 @@
 #include "batch/scheduler_impl.hpp"
 #include "batch/work_rate.hpp"
+#include "chicorylift/batch/fair_share.hpp"
 #include "chicorylift/batch/group_order.hpp"
 
 #include <algorithm>
@@ -18,20 +19,6 @@
 // A step that is wider than this share of its service's capacity runs in waves.
 constexpr double wave_share = 0.25;
 
-/// @return the largest share of the capacity that the request takes of any resource.
-double dominant_share(const resource_amount& request, const resource_amount& capacity) noexcept
-{
-    const auto share = [](std::int64_t one, std::int64_t all)
-    {
-        return one <= 0
-                   ? 0.0
-                   : static_cast<double>(one) / static_cast<double>(std::max<std::int64_t>(1, all));
-    };
-    return std::max({share(request.accelerators, capacity.accelerators),
-                     share(request.millicores, capacity.millicores),
-                     share(request.memory_mb, capacity.memory_mb)});
-}
-
 core::milliseconds duration_of(const step_spec& step, std::int64_t units,
                                const resource_amount& capacity) noexcept
 {
@@ -234,4 +221,97 @@
     }
 }
 
+std::map<site_scheduler::implementation::share_scope, organisation_shares>
+site_scheduler::implementation::shares_held(
+    const std::vector<placement_group>& groups,
+    const std::map<core::service_id, resource_amount>& capacities) const
+{
+    std::map<share_scope, organisation_shares> shares;
+    std::map<share_scope, double> held;
+    for (const auto& [number, run] : this->runs)
+    {
+        const auto job = this->jobs.find(run.job);
+        if (run.stopping || job == this->jobs.end())
+        {
+            continue;
+        }
+        const auto capacity = capacities.find(job->second.policy.service);
+        const auto active =
+            std::count_if(run.members.begin(), run.members.end(),
+                          [](const run_member_state& member) { return !member.ended; });
+        const double share =
+            capacity == capacities.end()
+                ? 0
+                : static_cast<double>(active) * dominant_share(run.per_unit, capacity->second);
+        const share_scope scope(job->second.policy.service, job->second.policy.priority);
+        shares.try_emplace(scope, this->guaranteed)
+            .first->second.add_held(job->second.spec.organisation, share);
+        held[scope] += share;
+    }
+    for (const placement_group& group : groups)
+    {
+        shares
+            .try_emplace(share_scope(group.job->policy.service, group.job->policy.priority),
+                         this->guaranteed)
+            .first->second.add_competitor(group.job->spec.organisation);
+    }
+    for (auto& [scope, each] : shares)
+    {
+        double others = 0;
+        for (const auto& [other, amount] : held)
+        {
+            others += other.first == scope.first && other != scope ? amount : 0;
+        }
+        each.set_available(std::max(0.0, 1 - others));
+    }
+    return shares;
+}
+
+void site_scheduler::implementation::order_by_share(std::vector<placement_group>& groups) const
+{
+    const std::map<core::service_id, resource_amount> capacities = this->capacity_by_service();
+    std::map<share_scope, organisation_shares> shares = this->shares_held(groups, capacities);
+    struct position
+    {
+        double range{};
+        int level{};
+        std::size_t index{};
+    };
+    std::vector<position> order(groups.size());
+    for (std::size_t index = 0; index < groups.size(); ++index)
+    {
+        const placement_group& group = groups[index];
+        order[index].index = index;
+        order[index].range = std::floor(group.rank / (priority_band / rank_ranges));
+        if (group.guaranteed)
+        {
+            // Guaranteed groups keep their order: the guarantee is their share.
+            continue;
+        }
+        organisation_shares& scope =
+            shares.at(share_scope(group.job->policy.service, group.job->policy.priority));
+        const auto capacity = capacities.find(group.job->policy.service);
+        const core::organisation_id& organisation = group.job->spec.organisation;
+        order[index].level = scope.level_of(organisation);
+        scope.add_waiting(
+            organisation,
+            capacity == capacities.end()
+                ? 0
+                : static_cast<double>(group.units.size()) *
+                      dominant_share(this->spec_of(group).resource_request(), capacity->second));
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const position& left, const position& right) {
+                         return left.range != right.range ? left.range < right.range
+                                                          : left.level < right.level;
+                     });
+    std::vector<placement_group> sorted;
+    sorted.reserve(groups.size());
+    for (const position& each : order)
+    {
+        sorted.push_back(std::move(groups[each.index]));
+    }
+    groups = std::move(sorted);
+}
+
 } // namespace chicorylift::batch
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -257,6 +257,10 @@
     std::stable_sort(groups.begin(), groups.end(),
                      [](const placement_group& left, const placement_group& right)
                      { return left.rank < right.rank; });
+    if (this->settings.fair_shares)
+    {
+        this->order_by_share(groups);
+    }
     return groups;
 }
 
--- a/tests/group_order_test.cpp
+++ b/tests/group_order_test.cpp
@@ -1,3 +1,4 @@
+#include "chicorylift/batch/fair_share.hpp"
 #include "chicorylift/batch/group_order.hpp"
 #include "chicorylift/batch/scheduler.hpp"
 
@@ -240,4 +241,57 @@
     CHECK(site.pass(now, wall_time) == "new late strange hopeless");
 }
 
+// Guards against one organisation that holds everything because it submits most.
+TEST_CASE("an organisation above its fair share goes behind others, and none below it does")
+{
+    const core::organisation_id large("large");
+    const core::organisation_id small("small");
+    const core::organisation_id owner("owner");
+    const std::map<core::organisation_id, std::int64_t> guaranteed{{owner, 2}};
+    organisation_shares shares(guaranteed);
+    for (const auto& each : {large, small, owner})
+    {
+        shares.add_competitor(each);
+    }
+    // Weights are 1, 1 and 2.
+    CHECK(shares.fair_share(large) == doctest::Approx(0.25));
+    CHECK(shares.fair_share(owner) == doctest::Approx(0.5));
+    shares.add_held(large, 0.24);
+    CHECK(shares.level_of(large) == 0);
+    shares.add_held(large, 0.02);
+    CHECK(shares.level_of(large) == 1);
+    shares.add_held(large, 0.25);
+    CHECK(shares.level_of(large) == 2);
+    CHECK(shares.level_of(small) == 0);
+    // A gang that is wider than the share counts as the share only.
+    shares.add_waiting(small, 0.9);
+    CHECK(shares.level_of(small) == 1);
+    // Where other priorities hold half, the shares are halves too.
+    shares.set_available(0.5);
+    CHECK(shares.fair_share(owner) == doctest::Approx(0.25));
+    CHECK(dominant_share({1000, 100, 1}, {4000, 1000, 2}) == doctest::Approx(0.5));
+    CHECK(dominant_share({1000, 0, 1}, {}) >= 1);
+}
+
+// Guards against shares that are known to the first leader only, and against one organisation's
+// backlog that takes all free room in one pass.
+TEST_CASE("fair shares count running work and what comes before a group in the same pass")
+{
+    for (const bool fair_shares : {false, true})
+    {
+        CAPTURE(fair_shares);
+        scheduler_settings settings;
+        settings.fair_shares = fair_shares;
+        one_worker site(settings);
+        for (int number = 0; number < 6; ++number)
+        {
+            site.scheduler.add_job(job_of("a" + std::to_string(number), "a", 2, seconds{1}), {},
+                                   false, instant_at(seconds{2}));
+        }
+        site.scheduler.add_job(job_of("b", "b", 2, seconds{1}), {}, false, instant_at(seconds{2}));
+        site.report(seconds{2});
+        CHECK(site.pass(seconds{2}, seconds{2}) == (fair_shares ? "a0 a1 b a2" : "a0 a1 a2 a3"));
+    }
+}
+
 } // namespace
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -20,6 +20,7 @@
 
 constexpr int queue_count = 3;
 constexpr int organisation_count = 10;
+constexpr int flooding = 3;
 constexpr std::int64_t accelerators = 96;
 constexpr milliseconds load_start{2000};
 
@@ -32,9 +33,12 @@
     milliseconds burst_length;
     milliseconds period;
     milliseconds length;
+    /// Share of the jobs that one organisation without a guarantee submits on top of its own.
+    double flood = 0;
 };
 
 constexpr load_pattern sustained{2.5, 2.5, seconds{0}, seconds{60}, seconds{60}};
+constexpr load_pattern flooded{2.5, 2.5, seconds{0}, seconds{60}, seconds{60}, 0.7};
 constexpr load_pattern bursts{0.6, 3, seconds{8}, seconds{30}, seconds{90}};
 
 struct submitted_job
@@ -145,6 +149,8 @@
         job.organisation =
             std::min(organisation_count - 1,
                      static_cast<int>(std::log(1 - pick * 0.98) / std::log(2.0 / 3)));
+        job.organisation =
+            pattern.flood > 0 && chance() < pattern.flood ? flooding : job.organisation;
         batch::step_spec step;
         step.estimate = milliseconds{800 + below(below(4) == 0 ? 12000 : 4000)};
         std::int64_t each = 1;
@@ -347,6 +353,24 @@
     }
 }
 
+// Guards against an organisation that gets nothing because others submit more, and against shares
+// that cost all callers together more than they give to the one that is served worst.
+TEST_CASE("under overload fair shares keep what callers get")
+{
+    for (const std::string name : {"sustained", "flooded"})
+    {
+        CAPTURE(name);
+        const load_pattern& pattern = name == "flooded" ? flooded : sustained;
+        const figures off = play_all((name + " off").c_str(), pattern, false, false, 2);
+        const figures shares = play_all((name + " shares").c_str(), pattern, false, true, 2);
+        const figures value = play_all((name + " value").c_str(), pattern, true, false, 2);
+        const figures both = play_all((name + " both").c_str(), pattern, true, true, 2);
+        CHECK(shares.violations + both.violations == 0);
+        CHECK(both.all.served_share() > 0.9 * value.all.served_share());
+        CHECK(shares.all.served_share() > 0.9 * off.all.served_share());
+    }
+}
+
 // Guards against an order that depends on what only the first leader saw.
 TEST_CASE("a new leader under overload orders by value at once")
 {
