--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -2,6 +2,8 @@
 
 #include "batch/placement.hpp"
 #include "batch/site_state.hpp"
+#include "chicorylift/batch/fair_share.hpp"
+#include "chicorylift/batch/group_order.hpp"
 #include "chicorylift/batch/run_time_model.hpp"
 
 #include <limits>
@@ -16,6 +18,9 @@
 namespace chicorylift::batch
 {
 
+/// Distance between the rank ranges of two priorities. Guaranteed groups rank before all others.
+inline constexpr double priority_band = 1e9;
+
 /// @return key of the group's preemption reservation: its first unit.
 [[nodiscard]] unit_key reservation_key(const placement_group& group);
 
@@ -125,6 +130,27 @@
     std::vector<placement_group> ready_groups(core::instant now, unix_time wall_time);
     void compute_rank(placement_group& group, core::instant now) const;
     void place_groups(std::vector<placement_group>& groups, core::instant now);
+
+    // Order of groups by value (scheduler_order.cpp).
+    /// Replaces the ranks of groups that are not guaranteed.
+    void rank_by_value(std::vector<placement_group>& groups, core::instant now,
+                       unix_time wall_time);
+    /// Organisations share the capacity of a service within a priority.
+    using share_scope = std::pair<core::service_id, std::int64_t>;
+    [[nodiscard]] std::map<share_scope, organisation_shares>
+    shares_held(const std::vector<placement_group>& groups,
+                const std::map<core::service_id, resource_amount>& capacities) const;
+    /// Within each range of ranks, moves groups of organisations that hold more than their share
+    /// behind others; keeps the order otherwise.
+    void order_by_share(std::vector<placement_group>& groups) const;
+    /// @return the capacity of the workers that take work.
+    [[nodiscard]] std::map<core::service_id, resource_amount> capacity_by_service() const;
+    /// @return time since the job was accepted, or since its occurrence was due.
+    static core::milliseconds age_of(job_state& job, std::int64_t occurrence, core::instant now,
+                                     unix_time wall_time);
+    [[nodiscard]] std::map<queue_id, queue_service> service_by_queue(core::instant now,
+                                                                     unix_time wall_time);
+
     /// Places the group and begins its run, if all its units fit.
     /// @return whether the group was placed.
     bool place_group(const placement_group& group, resources_by_worker& available,
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -38,6 +38,8 @@
     /// Speed of each worker; 1 for those beyond its end. A gang's members go at the slowest's.
     std::vector<double> speeds;
     bool learn_run_times = false;
+    bool order_by_value = false;
+    bool fair_shares = false;
     /// Agents confirm before work is started without writing where; off to show what that is for.
     bool guarded_takeover = true;
 };
