--- a/src/batch/zone_evacuations.cpp
+++ b/src/batch/zone_evacuations.cpp
@@ -28,7 +28,8 @@
 evacuation_change zone_evacuations::on_request(const core::zone_id& zone, std::uint64_t row_version,
                                                core::instant now)
 {
-    const auto [found, inserted] = this->requests.try_emplace(zone, row_version, now);
+    const auto [found, inserted] =
+        this->requests.try_emplace(zone, zone_evacuation{row_version, now});
     if (inserted)
     {
         return evacuation_change::begun;
--- a/src/ctl/evacuations.cpp
+++ b/src/ctl/evacuations.cpp
@@ -63,8 +63,10 @@
 
 std::size_t evacuation_report::print(std::ostream& out) const
 {
-    for (const auto& [name, line] : this->zones)
+    for (const auto& each : this->zones)
     {
+        const std::string& name = each.first;
+        const zone& line = each.second;
         const auto field = [&line](const char* wanted) { return log_field(line.object, wanted); };
         out << line.time << "  " << name << "  row " << field("row_version") << "  ";
         if (line.event == "evacuation_ended")
--- a/tests/zone_evacuation_site_test.cpp
+++ b/tests/zone_evacuation_site_test.cpp
@@ -55,10 +55,10 @@
     {
         FAIL_CHECK(violation);
     }
-    for (const auto& [id, result] : site.results())
+    for (const auto& each : site.results())
     {
-        CAPTURE(id.str());
-        CHECK(result.ended.has_value());
+        CAPTURE(each.first.str());
+        CHECK(each.second.ended.has_value());
     }
 }
 
