Bound submissions at entries, and refuse with 429 at once

An entry took any number of submissions: they queued for the store's 24 connections, before status requests and cancellations, until their time was up, and an organisation could queue jobs that could only lapse.

Both are off by default. A refusal names its bound; Retry-After gives callers one slot after another at the drain rate. A stored job is answered as accepted: the view and then the store are asked before 429 is said, and where that stays open the answer is 504.

The new case for the bound fails with the bound set to 0: no submission is refused.

--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -56,7 +56,7 @@
         [this] { this->on_rows_confirmed(); });
     this->job_rows = std::make_unique<mirrored_table>(
         loop, *this->store, mirror_settings{job_table, site_partition, job_wait},
-        [this](const ports::row& row) { this->jobs.apply(row); },
+        [this](const ports::row& row) { this->jobs.apply(row, core::boot_clock::now()); },
         [this] { this->on_rows_confirmed(); });
     net::async_server_limits limits;
     limits.max_connections = this->values.max_connections;
@@ -148,6 +148,10 @@
 
 void entry::on_rows_confirmed()
 {
+    if (!this->jobs_loaded_at.has_value() && this->job_rows->is_loaded())
+    {
+        this->jobs_loaded_at = core::boot_clock::now();
+    }
     this->check_ready();
 }
 
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chicorylift/batch/site_config.hpp"
+#include "chicorylift/batch/submission_admission.hpp"
 #include "net/async_http_server.hpp"
 #include "net/event_loop.hpp"
 #include "ports/client_api.hpp"
@@ -10,10 +11,12 @@
 #include "site/settings.hpp"
 #include "support/metrics.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 namespace chicorylift::site
 {
@@ -47,9 +50,21 @@
     /// Reads from the store before writing, so that an unreachable store leads to a definite
     /// refusal.
     void probe_store_then_submit(const std::shared_ptr<submission>& pending);
+    /// Decides whether the submission is taken. One that is not is answered as accepted if its job
+    /// has been stored already.
+    void admit(const std::shared_ptr<submission>& pending);
+    [[nodiscard]] batch::admission_decision decide_admission(const submission& pending) const;
+    void refuse_unless_stored(const std::shared_ptr<submission>& pending,
+                              const batch::admission_decision& decision);
+    void respond_overloaded(const submission& pending, const batch::admission_decision& decision);
+    void begin_submission(const std::shared_ptr<submission>& pending);
     void try_submission(const std::shared_ptr<submission>& pending);
+    /// Sends the write of a submission, unless enough others are being sent.
+    void send_submission(const std::shared_ptr<submission>& pending);
+    void send_waiting_submissions();
     void on_submission(const std::shared_ptr<submission>& pending,
                        const ports::commit_outcome& outcome);
+    void end_pending(const submission& pending);
     void respond_accepted(const submission& pending);
     void respond_refused(const submission& pending, ports::client_result answer,
                          const std::string& reason);
@@ -81,6 +96,16 @@
     job_view jobs;
     support::metrics metrics;
     std::minstd_rand random;
+    std::optional<core::instant> jobs_loaded_at;
+    /// Submissions that were admitted and have not been answered.
+    std::multiset<core::job_id> pending_submissions;
+    /// Writes of submissions that the store has not answered.
+    std::size_t submission_writes{};
+    std::deque<std::shared_ptr<submission>> waiting_submissions;
+    /// Reads for jobs whose submission is about to be refused.
+    std::size_t refusal_reads{};
+    batch::event_rate submissions_written;
+    batch::retry_schedule retry_times;
     bool draining = false;
     bool was_ready = false;
     bool store_unavailable = false;
--- a/src/site/entry_calls.cpp
+++ b/src/site/entry_calls.cpp
@@ -6,6 +6,7 @@
 #include "support/unix_clock.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 /// Request handlers of the entry: submit, show, cancel and queue length.
 namespace chicorylift::site
@@ -26,6 +27,11 @@
 // Longest time for which a refused write is retried before the caller gets an error.
 constexpr core::milliseconds refused_write_timeout{700};
 constexpr core::milliseconds retry_delay{60};
+// With bounded submissions, this many of their writes are sent at a time. The store has 24
+// connections; the others stay free for status requests and cancellations.
+constexpr std::size_t max_submission_writes = 16;
+// Beyond this, whether a refused job has been stored before stays unknown.
+constexpr std::size_t max_refusal_reads = 32;
 } // namespace
 
 /// Submission that is being written to the store.
@@ -40,6 +46,7 @@
     core::instant deadline;
     bool may_be_stored = false;
     int attempts = 0;
+    bool admitted = false;
 };
 
 /// Cancellation that is being written to the store.
@@ -89,7 +96,93 @@
         this->respond_refused(*pending, client_result::unavailable, "the store does not answer");
         return;
     }
-    const ports::row_id row_id = job_row_id(call.job, job_row_kind::accepted);
+    this->admit(pending);
+}
+
+void entry::admit(const std::shared_ptr<submission>& pending)
+{
+    const batch::admission_decision decision = this->decide_admission(*pending);
+    if (!decision.admitted)
+    {
+        this->refuse_unless_stored(pending, decision);
+        return;
+    }
+    pending->admitted = true;
+    this->pending_submissions.insert(pending->job.id);
+    this->begin_submission(pending);
+}
+
+batch::admission_decision entry::decide_admission(const submission& pending) const
+{
+    const batch::admission_limits limits{this->values.max_pending_submissions,
+                                         this->values.max_queued_per_organisation};
+    const core::instant now = core::boot_clock::now();
+    batch::admission_load load;
+    load.pending_submissions = this->pending_submissions.size();
+    load.written = this->submissions_written.count(now);
+    if (limits.max_queued_per_organisation > 0)
+    {
+        std::tie(load.queued, load.started) =
+            this->jobs.backlog_of(pending.job.organisation, pending.job.policy.priority, now);
+        load.starts_known = this->jobs_loaded_at.has_value() &&
+                            now - *this->jobs_loaded_at >= batch::event_rate::window;
+        const auto& guaranteed = this->config->guaranteed_accelerators;
+        const auto own = guaranteed.find(pending.job.organisation);
+        load.lapse = batch::lapse_of(pending.job, own == guaranteed.end() ? 0 : own->second);
+    }
+    return batch::admit_submission(limits, load);
+}
+
+void entry::refuse_unless_stored(const std::shared_ptr<submission>& pending,
+                                 const batch::admission_decision& decision)
+{
+    // Another entry may have stored the job at an earlier attempt of the caller, and this entry's
+    // view may not show it yet, or this entry is still writing it. "Not run" would then be wrong.
+    if (this->refusal_reads >= max_refusal_reads ||
+        this->pending_submissions.contains(pending->job.id))
+    {
+        this->respond_refused(*pending, client_result::unknown_outcome, decision.reason);
+        return;
+    }
+    ++this->refusal_reads;
+    this->read_job(pending->job.id, commit_timeout,
+                   [this, pending, decision](const absl::StatusOr<std::optional<cached_job>>& job)
+                   {
+                       --this->refusal_reads;
+                       if (!job.ok())
+                       {
+                           this->respond_refused(*pending, client_result::unknown_outcome,
+                                                 std::string(job.status().message()));
+                       }
+                       else if (job->has_value())
+                       {
+                           this->respond_accepted(*pending);
+                       }
+                       else
+                       {
+                           this->respond_overloaded(*pending, decision);
+                       }
+                   });
+}
+
+void entry::respond_overloaded(const submission& pending, const batch::admission_decision& decision)
+{
+    const core::milliseconds retry_after =
+        this->retry_times.next(core::boot_clock::now(), decision.drain_rate,
+                               std::uniform_real_distribution<double>(0, 1)(this->random));
+    events::write("job_refused", {{"job", pending.job.id.str()},
+                                  {"queue", pending.job.policy.queue.str()},
+                                  {"organisation", pending.job.organisation.str()},
+                                  {"reason", decision.reason},
+                                  {"retry_after_ms", retry_after.count()}});
+    this->metrics.increment("jobs", "refused_overload");
+    pending.respond(
+        platform::answer_response(client_result::overloaded, decision.reason, retry_after));
+}
+
+void entry::begin_submission(const std::shared_ptr<submission>& pending)
+{
+    const ports::row_id row_id = job_row_id(pending->job.id, job_row_kind::accepted);
     pending->changes.conditions.push_back({row_id, 0});
     pending->changes.writes.push_back({row_id, to_row(pending->job).SerializeAsString()});
     if (this->time_since_store_answer() > store_doubt_threshold)
@@ -118,12 +211,46 @@
 }
 
 void entry::try_submission(const std::shared_ptr<submission>& pending)
+{
+    if (this->values.max_pending_submissions > 0 &&
+        this->submission_writes >= max_submission_writes)
+    {
+        this->waiting_submissions.push_back(pending);
+        return;
+    }
+    this->send_submission(pending);
+}
+
+void entry::send_waiting_submissions()
+{
+    while (!this->waiting_submissions.empty() && this->submission_writes < max_submission_writes)
+    {
+        const std::shared_ptr<submission> next = std::move(this->waiting_submissions.front());
+        this->waiting_submissions.pop_front();
+        if (core::boot_clock::now() < next->deadline)
+        {
+            this->send_submission(next);
+            continue;
+        }
+        this->respond_refused(*next,
+                              next->may_be_stored ? client_result::unknown_outcome
+                                                  : client_result::unavailable,
+                              "the submission waited for others until its deadline");
+    }
+}
+
+void entry::send_submission(const std::shared_ptr<submission>& pending)
 {
     const core::milliseconds left = pending->deadline - core::boot_clock::now();
     ++pending->attempts;
+    ++this->submission_writes;
     this->store->commit(pending->changes, std::min(commit_timeout, left),
                         [this, pending](const ports::commit_outcome& outcome)
-                        { this->on_submission(pending, outcome); });
+                        {
+                            --this->submission_writes;
+                            this->on_submission(pending, outcome);
+                            this->send_waiting_submissions();
+                        });
 }
 
 void entry::on_submission(const std::shared_ptr<submission>& pending,
@@ -135,6 +262,7 @@
     {
         // A conflict means that the row exists: the job was stored by an earlier attempt or another
         // entry.
+        this->submissions_written.record(now);
         this->respond_accepted(*pending);
         return;
     }
@@ -159,6 +287,15 @@
     this->loop.run_after(retry_delay, [this, pending] { this->try_submission(pending); });
 }
 
+void entry::end_pending(const submission& pending)
+{
+    const auto found = this->pending_submissions.find(pending.job.id);
+    if (pending.admitted && found != this->pending_submissions.end())
+    {
+        this->pending_submissions.erase(found);
+    }
+}
+
 void entry::respond_accepted(const submission& pending)
 {
     // The key must still be valid when the response is sent, not only when the request arrived.
@@ -177,6 +314,7 @@
                               "the caller's key is no longer confirmed as valid");
         return;
     }
+    this->end_pending(pending);
     const core::milliseconds duration = core::boot_clock::now() - pending.started_at;
     events::write("job_accepted", {{"job", pending.job.id.str()},
                                    {"queue", pending.job.policy.queue.str()},
@@ -194,6 +332,7 @@
 void entry::respond_refused(const submission& pending, client_result answer,
                             const std::string& reason)
 {
+    this->end_pending(pending);
     const bool unknown = answer == client_result::unknown_outcome;
     events::write(unknown ? "job_unsettled" : "job_refused",
                   {{"job", pending.job.id.str()},
@@ -229,7 +368,7 @@
                           job_view view;
                           for (const ports::row& row : page->rows)
                           {
-                              view.apply(row);
+                              view.apply(row, core::boot_clock::now());
                           }
                           const cached_job* const found = view.find(job);
                           on_job(found == nullptr ? std::optional<cached_job>{}
--- a/src/site/job_view.cpp
+++ b/src/site/job_view.cpp
@@ -2,6 +2,8 @@
 
 #include "site/row_codec.hpp"
 
+#include <limits>
+
 namespace chicorylift::site
 {
 
@@ -23,7 +25,32 @@
     return this->placed ? ports::client_job_state::running : ports::client_job_state::queued;
 }
 
-void job_view::apply(const ports::row& row)
+bool cached_job::is_queued() const noexcept
+{
+    return this->accepted_version != 0 && !this->has_schedule &&
+           this->state() == ports::client_job_state::queued;
+}
+
+void job_view::count_change(const cached_job& job, bool was_queued, core::instant now)
+{
+    if (was_queued == job.is_queued())
+    {
+        return;
+    }
+    job_backlog& backlog = this->backlogs[{job.organisation, job.priority}];
+    if (!was_queued)
+    {
+        ++backlog.queued;
+        return;
+    }
+    --backlog.queued;
+    if (job.placed)
+    {
+        backlog.started.record(now);
+    }
+}
+
+void job_view::apply(const ports::row& row, core::instant now)
 {
     const auto key = parse_job_row_key(row.id.key);
     if (!key.has_value())
@@ -32,13 +59,18 @@
     }
     if (row.removed)
     {
-        if (key->kind == job_row_kind::accepted)
+        const auto removed = this->jobs.find(key->job);
+        if (key->kind == job_row_kind::accepted && removed != this->jobs.end())
         {
-            this->jobs.erase(key->job);
+            const bool was_queued = removed->second.is_queued();
+            removed->second.accepted_version = 0;
+            this->count_change(removed->second, was_queued, now);
+            this->jobs.erase(removed);
         }
         return;
     }
     cached_job& job = this->jobs[key->job];
+    const bool was_queued = job.is_queued();
     if (key->kind == job_row_kind::accepted)
     {
         const auto stored = parse_job(row);
@@ -47,8 +79,10 @@
             log_ignored_row(row, "not a valid job");
             return;
         }
+        // An accepted row never changes, so that a counted job keeps its organisation and priority.
         job.queue = batch::queue_id(stored->terms().queue());
         job.organisation = core::organisation_id(stored->organisation());
+        job.priority = stored->terms().priority();
         job.has_schedule = stored->occurrences() > 0;
         job.accepted_version = row.version;
     }
@@ -66,6 +100,24 @@
     {
         job.cancelled = true;
     }
+    this->count_change(job, was_queued, now);
+}
+
+std::pair<std::size_t, std::uint64_t>
+job_view::backlog_of(const core::organisation_id& organisation, std::int64_t priority,
+                     core::instant now) const
+{
+    std::pair<std::size_t, std::uint64_t> total{};
+    for (auto each =
+             this->backlogs.lower_bound({organisation, std::numeric_limits<std::int64_t>::min()});
+         each != this->backlogs.end() && each->first.first == organisation &&
+         each->first.second <= priority;
+         ++each)
+    {
+        total.first += each->second.queued;
+        total.second += each->second.started.count(now);
+    }
+    return total;
 }
 
 const cached_job* job_view::find(const core::job_id& job) const
--- a/src/site/job_view.hpp
+++ b/src/site/job_view.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "chicorylift/batch/job.hpp"
+#include "chicorylift/batch/submission_admission.hpp"
 #include "ports/client_api.hpp"
 #include "ports/table_service.hpp"
 
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace chicorylift::site
 {
@@ -15,6 +17,7 @@
 {
     batch::queue_id queue;
     core::organisation_id organisation;
+    std::int64_t priority{};
     bool has_schedule = false;
     bool placed = false;
     bool completed = false;
@@ -25,6 +28,16 @@
 
     /// @return the state exposed by the client API.
     [[nodiscard]] ports::client_job_state state() const noexcept;
+    /// @return whether the job's accepted row has been read, it has no schedule, and it has not
+    ///         been placed.
+    [[nodiscard]] bool is_queued() const noexcept;
+};
+
+/// Jobs of one organisation and priority.
+struct job_backlog
+{
+    std::size_t queued{};
+    batch::event_rate started;
 };
 
 /// In-memory view of all jobs, built from the rows of the job table.
@@ -32,15 +45,24 @@
 {
 public:
     /// Applies a row of the job table; rows whose key is not a job row's are ignored.
-    void apply(const ports::row& row);
+    void apply(const ports::row& row, core::instant now);
     /// @return the job, or nullptr if its accepted row has not been read.
     [[nodiscard]] const cached_job* find(const core::job_id& job) const;
     /// @return number of accepted jobs of a queue that have no schedule and have not been placed.
     [[nodiscard]] std::size_t queued_count(const batch::queue_id& queue) const;
+    /// @return the organisation's jobs that are queued, and those that were started within
+    ///         `event_rate::window`, of the priority and more urgent ones.
+    [[nodiscard]] std::pair<std::size_t, std::uint64_t>
+    backlog_of(const core::organisation_id& organisation, std::int64_t priority,
+               core::instant now) const;
     [[nodiscard]] std::size_t size() const noexcept { return this->jobs.size(); }
 
 private:
+    /// Updates the backlogs after a job has changed.
+    void count_change(const cached_job& job, bool was_queued, core::instant now);
+
     std::map<core::job_id, cached_job> jobs;
+    std::map<std::pair<core::organisation_id, std::int64_t>, job_backlog> backlogs;
 };
 
 } // namespace chicorylift::site
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -22,7 +22,7 @@
 constexpr std::string_view variable_prefix = "CHICORYLIFT_";
 /// Environment variable with the path of the settings file.
 constexpr const char* settings_file_variable = "CHICORYLIFT_BOOT";
-constexpr std::array<std::string_view, 24> variables{
+constexpr std::array<std::string_view, 26> variables{
     "CHICORYLIFT_BOOT",
     "CHICORYLIFT_ROLE",
     "CHICORYLIFT_NAME",
@@ -47,6 +47,8 @@
     "CHICORYLIFT_ORDER_BY_VALUE",
     "CHICORYLIFT_FAIR_SHARES",
     "CHICORYLIFT_KEEP_WHOLE_WORKERS",
+    "CHICORYLIFT_MAX_PENDING_SUBMISSIONS",
+    "CHICORYLIFT_MAX_QUEUED_PER_ORGANISATION",
 };
 
 absl::Status invalid(const std::string& setting, const std::string& value,
@@ -155,6 +157,16 @@
                    "agent: keep workers whole for units that need a whole worker")
         ->envname("CHICORYLIFT_KEEP_WHOLE_WORKERS")
         ->capture_default_str();
+    app.add_option("--max-pending-submissions", values.max_pending_submissions,
+                   "entry: submissions that may be in progress; beyond it they are refused; 0 for "
+                   "no bound")
+        ->envname("CHICORYLIFT_MAX_PENDING_SUBMISSIONS")
+        ->capture_default_str();
+    app.add_option("--max-queued-per-organisation", values.max_queued_per_organisation,
+                   "entry: queued jobs of an organisation from which jobs that would lapse are "
+                   "refused; 0 for no bound")
+        ->envname("CHICORYLIFT_MAX_QUEUED_PER_ORGANISATION")
+        ->capture_default_str();
     app.add_flag("--check-settings", values.check_only, "check the settings and exit");
 }
 
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -45,6 +45,11 @@
     std::int64_t keep_ended_s = 120;
     /// Entry: largest number of open client connections.
     std::uint32_t max_connections = 3000;
+    /// Entry: largest number of submissions that are being written; 0 for no bound.
+    std::size_t max_pending_submissions = 0;
+    /// Entry: number of an organisation's queued jobs from which a job that certainly cannot be
+    /// served in time is refused; 0 for no bound.
+    std::size_t max_queued_per_organisation = 0;
     /// Agent: time within which a leader stops placing work in an evacuated availability zone; 0
     /// disables evacuations.
     core::milliseconds evacuation_limit{0};
--- a/tests/group_order_test.cpp
+++ b/tests/group_order_test.cpp
@@ -1,6 +1,7 @@
 #include "chicorylift/batch/fair_share.hpp"
 #include "chicorylift/batch/group_order.hpp"
 #include "chicorylift/batch/scheduler.hpp"
+#include "chicorylift/batch/submission_admission.hpp"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -294,4 +295,92 @@
     }
 }
 
+admission_load busy_load()
+{
+    admission_load load;
+    load.queued = 100;
+    load.started = 9;
+    load.starts_known = true;
+    load.lapse = seconds{30};
+    return load;
+}
+
+// Guards against refusing a job whose caller still gains from waiting, and against a refusal whose
+// cause nobody can tell.
+TEST_CASE("a job is refused only at a full bound and where it would surely lapse")
+{
+    const admission_limits limits{8, 50};
+    // 100 jobs at twice the rate of 10 in 20 s take 100 s.
+    const admission_decision refused = admit_submission(limits, busy_load());
+    CHECK_FALSE(refused.admitted);
+    CHECK(refused.reason.find("100 jobs of the organisation") != std::string::npos);
+    CHECK(refused.drain_rate == doctest::Approx(0.5));
+    const auto admits = [&limits](void (*change)(admission_load&))
+    {
+        admission_load load = busy_load();
+        change(load);
+        return admit_submission(limits, load).admitted;
+    };
+    CHECK(admits([](admission_load& load) { load.lapse = seconds{100}; }));
+    CHECK(admits([](admission_load& load) { load.started = 99; }));
+    CHECK(admits([](admission_load& load) { load.queued = 49; }));
+    CHECK(admits([](admission_load& load) { load.starts_known = false; }));
+    CHECK(admits([](admission_load& load) { load.lapse = {}; }));
+    CHECK_FALSE(admits(
+        [](admission_load& load)
+        {
+            load.pending_submissions = 8;
+            load.queued = 0;
+        }));
+    CHECK(admit_submission({}, busy_load()).admitted);
+}
+
+// Guards against urgent, scheduled and long-running jobs that are refused for a backlog which does
+// not decide when they run.
+TEST_CASE("only jobs that wait behind their organisation's backlog lapse")
+{
+    job_spec job = job_of("j", "o", 1, seconds{2});
+    CHECK(lapse_of(job, 8) == seconds{30});
+    job.occurrences = 2;
+    CHECK(lapse_of(job, 0).count() == 0);
+    job.occurrences = 0;
+    job.steps[0].long_running = true;
+    CHECK(lapse_of(job, 0).count() == 0);
+    job.steps[0].long_running = false;
+    job.policy.priority = 0;
+    CHECK(lapse_of(job, 8).count() == 0);
+    CHECK(lapse_of(job, 0) == seconds{30});
+}
+
+// Guards against callers that are refused together and come back together.
+TEST_CASE("refused callers come back at the rate at which the backlog drains")
+{
+    retry_schedule schedule;
+    const core::instant now = instant_at(seconds{100});
+    CHECK(schedule.next(now, 4, 0) == seconds{1});
+    CHECK(schedule.next(now, 4, 0) == milliseconds{1250});
+    CHECK(schedule.next(now, 4, 0) == milliseconds{1500});
+    for (int caller = 0; caller < 200; ++caller)
+    {
+        const milliseconds wait = schedule.next(now, 4, 0.5);
+        CHECK(wait >= retry_schedule::min_delay);
+        CHECK(wait <= retry_schedule::max_delay);
+    }
+    // The backlog has drained by then.
+    CHECK(schedule.next(now + seconds{60}, 4, 0) == seconds{1});
+    CHECK(schedule.next(now, 0, 1) <= retry_schedule::max_delay);
+}
+
+TEST_CASE("events count until they leave the window")
+{
+    event_rate rate;
+    CHECK(rate.count(instant_at(seconds{0})) == 0);
+    rate.record(instant_at(seconds{30}));
+    rate.record(instant_at(milliseconds{30'900}));
+    rate.record(instant_at(seconds{40}));
+    CHECK(rate.count(instant_at(seconds{40})) == 3);
+    CHECK(rate.count(instant_at(seconds{50})) == 1);
+    CHECK(rate.count(instant_at(seconds{90})) == 0);
+}
+
 } // namespace
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -1,4 +1,6 @@
 #include "net/http_client.hpp"
+#include "site/job_view.hpp"
+#include "site/row_codec.hpp"
 #include "support/batch_site.hpp"
 #include "wire/batch.pb.h"
 
@@ -11,6 +13,7 @@
 #include <fstream>
 #include <limits>
 #include <sstream>
+#include <thread>
 #include <unistd.h>
 
 /// Process tests of the batch service: real entries and agents against a simulated store and
@@ -620,6 +623,96 @@
     CHECK(site.agent(1).stop() == 0);
 }
 
+// Guards against a bound that counts jobs that no longer wait, or those of other organisations.
+TEST_CASE("an organisation's backlog follows the rows of its jobs")
+{
+    using site::job_row_kind;
+    site::job_view view;
+    const core::instant now = core::instant_at(seconds{100});
+    const core::organisation_id organisation("o");
+    const auto write = [&](const std::string& id, job_row_kind kind, const std::string& value)
+    {
+        ports::row row;
+        row.id = site::job_row_id(core::job_id(id), kind);
+        row.version = 1;
+        row.value = value;
+        row.removed = value.empty();
+        view.apply(row, now);
+    };
+    const auto accept = [&](const std::string& id, const std::string& owner, std::int64_t priority)
+    {
+        batch::job_spec job;
+        job.id = core::job_id(id);
+        job.organisation = core::organisation_id(owner);
+        job.policy.queue = batch::queue_id("q");
+        job.policy.priority = priority;
+        job.steps.emplace_back();
+        write(id, job_row_kind::accepted, site::to_row(job).SerializeAsString());
+    };
+    accept(job_name(1), "o", 1);
+    accept(job_name(2), "o", 1);
+    accept(job_name(3), "o", 2);
+    accept(job_name(4), "other", 1);
+    accept(job_name(5), "o", 1);
+    CHECK(view.backlog_of(organisation, 1, now) == std::pair<std::size_t, std::uint64_t>(3, 0));
+    CHECK(view.backlog_of(organisation, 2, now).first == 4);
+    wire::batch_progress placed;
+    placed.add_agents("agent");
+    write(job_name(1), job_row_kind::progress, placed.SerializeAsString());
+    write(job_name(1), job_row_kind::progress, placed.SerializeAsString());
+    write(job_name(2), job_row_kind::cancel, "cancelled");
+    CHECK(view.backlog_of(organisation, 1, now) == std::pair<std::size_t, std::uint64_t>(1, 1));
+    write(job_name(1), job_row_kind::accepted, {});
+    write(job_name(5), job_row_kind::accepted, {});
+    CHECK(view.backlog_of(organisation, 1, now) == std::pair<std::size_t, std::uint64_t>(0, 1));
+}
+
+// Guards against an entry that takes more submissions than the store can, and against a refusal
+// that is not true: a refused job must not exist, and an accepted one is never refused.
+TEST_CASE("beyond the bound on pending submissions an entry refuses jobs that it does not store")
+{
+    setenv("CHICORYLIFT_MAX_PENDING_SUBMISSIONS", "2", 1);
+    batch_site site(1, 1);
+    unsetenv("CHICORYLIFT_MAX_PENDING_SUBMISSIONS");
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    const std::string body = job_body("60000", 1, 1, false);
+    REQUIRE(submit(site, 1, body) == 200);
+    const std::size_t rows_before = site.store().rows("jobs");
+    REQUIRE(rows_before >= 1);
+    testing::store_faults slow;
+    slow.delay = milliseconds{300};
+    site.store().set_faults(slow);
+    std::array<int, 12> statuses{};
+    std::vector<std::thread> callers;
+    for (std::size_t index = 0; index < statuses.size(); ++index)
+    {
+        callers.emplace_back(
+            [&, index]
+            {
+                statuses.at(index) =
+                    site.call(0, "POST", job_name(100 + static_cast<int>(index)), body).status;
+            });
+    }
+    CHECK(site.call(0, "POST", job_name(1), body).status == 200);
+    CHECK(site.call(0, "GET", job_name(1)).status == 200);
+    CHECK(site.call(0, "DELETE", job_name(1)).status == 200);
+    for (std::thread& caller : callers)
+    {
+        caller.join();
+    }
+    site.store().set_faults({});
+    CHECK(std::count(statuses.begin(), statuses.end(), 429) > 0);
+    CHECK(std::count(statuses.begin(), statuses.end(), 200) >= 2);
+    for (std::size_t index = 0; index < statuses.size(); ++index)
+    {
+        CAPTURE(index);
+        const int status = site.call(0, "GET", job_name(100 + static_cast<int>(index))).status;
+        CHECK((statuses.at(index) == 200 || statuses.at(index) == 429));
+        CHECK(status == (statuses.at(index) == 200 ? 200 : 410));
+    }
+}
+
 TEST_CASE("an unknown environment variable with the CHICORYLIFT_ prefix is reported at start")
 {
     const std::string program = testing::daemon_path();
