Weigh the samples that a worker is compared with by their share

Cause: a run of the tail reports progress four times, and each report counted as much as another run. Estimates of speed were not bounded.

Change: weighted medians; samples of at least three other workers of a step or four of a queue; a speed differs by a factor of four at most.

--- a/src/batch/worker_speeds.cpp
+++ b/src/batch/worker_speeds.cpp
@@ -14,13 +14,15 @@
 // Memory: references of this many steps and queues, each of this many samples.
 constexpr std::size_t max_steps = 256;
 constexpr std::size_t max_queues = 2048;
-constexpr std::size_t max_step_references = 24;
-constexpr std::size_t max_queue_references = 48;
+constexpr std::size_t max_step_references = 48;
+constexpr std::size_t max_queue_references = 96;
 constexpr std::size_t max_workers = 4096;
-// A comparison needs this many samples of other workers, of this many workers.
-constexpr std::size_t min_step_references = 3;
-constexpr std::size_t min_queue_references = 8;
-constexpr std::size_t min_reference_workers = 2;
+// A comparison needs samples of this many other workers, and of this many runs in all. The median
+// of runs of three workers withstands one run of the tail.
+constexpr std::size_t min_step_workers = 3;
+constexpr double min_step_runs = 0.75;
+constexpr std::size_t min_queue_workers = 4;
+constexpr double min_queue_runs = 8;
 // Units of one step do about the same work. Units of one queue differ by the error of their
 // declared times, a factor of about 1.6 (a logarithm of 0.5), so that sixteen of them are needed
 // where four of one step are.
@@ -39,14 +41,34 @@
 // A worker whose speed counts as different does so until it is within this, so that an estimate
 // near the limit does not move work to and fro.
 const double leave_difference = -std::log(0.8);
+// Workers of one service differ by a factor of about two; an estimate far beyond that comes from
+// few runs of the tail, and is used as this factor.
+const double max_difference = std::log(4.0);
 // The typical speed of a service needs this many workers with a known speed.
 constexpr std::size_t min_known_workers = 3;
 
-double median_of(std::vector<double> values)
+/// Value and weight.
+using weighted = std::pair<double, double>;
+
+/// @return the weighted median; at least one value is needed.
+double median_of(std::vector<weighted> values)
 {
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
+    std::sort(values.begin(), values.end());
+    double total = 0;
+    for (const weighted& each : values)
+    {
+        total += each.second;
+    }
+    double below = 0;
+    for (const auto& [value, weight] : values)
+    {
+        below += weight;
+        if (2 * below >= total)
+        {
+            return value;
+        }
+    }
+    return values.back().first;
 }
 
 /// Drops the entry that was not used for longest.
@@ -80,20 +102,23 @@
     }
     const double log_ratio = std::log(ratio);
     // A worker is compared with others only: alone in a step it would always seem typical.
-    const auto reference_for = [&entry](const references& list,
-                                        std::size_t min_count) -> std::optional<double>
+    const auto reference_of = [&entry](const references& list, std::size_t min_workers,
+                                       double min_runs) -> std::optional<double>
     {
-        std::vector<double> values;
+        std::vector<weighted> values;
         std::set<std::uint32_t> seen;
+        double runs = 0;
         for (const reference& each : list.newest)
         {
             if (each.worker != entry.number)
             {
-                values.push_back(each.log_ratio);
+                // By share: a single run of the tail reports progress many times.
+                values.emplace_back(each.log_ratio, each.share);
                 seen.insert(each.worker);
+                runs += each.share;
             }
         }
-        return values.size() < min_count || seen.size() < min_reference_workers
+        return runs < min_runs || seen.size() < min_workers
                    ? std::nullopt
                    : std::optional(median_of(std::move(values)));
     };
@@ -110,12 +135,12 @@
     references& queue = use(this->queues, kind.queue, max_queues);
     references* const step = kind.step.empty() ? nullptr : &use(this->steps, kind.step, max_steps);
     const std::optional<double> by_step =
-        step == nullptr ? std::nullopt : reference_for(*step, min_step_references);
+        step == nullptr ? std::nullopt : reference_of(*step, min_step_workers, min_step_runs);
     const std::optional<double> by_queue =
-        by_step.has_value() ? std::nullopt : reference_for(queue, min_queue_references);
+        by_step.has_value() ? std::nullopt : reference_of(queue, min_queue_workers, min_queue_runs);
     // Slow workers get other work than fast ones, so references are kept as at normal speed.
     // Otherwise a queue that only slow workers serve would make them look typical.
-    const reference added{entry.number, log_ratio + entry.difference};
+    const reference added{entry.number, log_ratio + entry.difference, share};
     add_reference(queue, added, max_queue_references);
     if (step != nullptr)
     {
@@ -150,31 +175,23 @@
         worker.weight -= worker.samples.front().weight;
         worker.samples.pop_front();
     }
-    std::vector<sample> sorted(worker.samples.begin(), worker.samples.end());
-    std::sort(sorted.begin(), sorted.end(),
-              [](const sample& left, const sample& right)
-              { return left.log_speed < right.log_speed; });
-    double below = 0;
-    for (const sample& each : sorted)
+    std::vector<weighted> values;
+    for (const sample& each : worker.samples)
     {
-        below += each.weight;
-        if (2 * below >= worker.weight)
-        {
-            worker.log_speed = each.log_speed;
-            break;
-        }
+        values.emplace_back(each.log_speed, each.weight);
     }
+    worker.log_speed = median_of(std::move(values));
     this->update_reported(worker);
 }
 
 void worker_speeds::update_reported(worker_entry& worker)
 {
-    std::vector<double> known;
+    std::vector<weighted> known;
     for (const auto& [agent, other] : this->workers)
     {
         if (other.service == worker.service && other.weight >= min_weight)
         {
-            known.push_back(other.log_speed);
+            known.emplace_back(other.log_speed, 1);
         }
     }
     if (worker.weight < min_weight || known.size() < min_known_workers)
@@ -183,7 +200,8 @@
         worker.reported = 0;
         return;
     }
-    worker.difference = worker.log_speed - median_of(std::move(known));
+    worker.difference =
+        std::clamp(worker.log_speed - median_of(std::move(known)), -max_difference, max_difference);
     const double limit = worker.reported == 0 ? enter_difference : leave_difference;
     worker.reported = std::abs(worker.difference) >= limit ? worker.difference : 0;
 }
--- a/src/batch/worker_speeds.hpp
+++ b/src/batch/worker_speeds.hpp
@@ -31,6 +31,7 @@
     {
         std::uint32_t worker{};
         double log_ratio{};
+        double share{};
     };
     struct references
     {
--- a/tests/run_time_model_test.cpp
+++ b/tests/run_time_model_test.cpp
@@ -249,6 +249,36 @@
     CHECK(model.speed_of(worker_named(1)) == 1);
 }
 
+// Guards against a worker of typical speed that counts as several times faster: a single run of the
+// tail reports progress many times, and must not be the measure of its step.
+TEST_CASE("one run of the tail does not make the other workers of its step fast")
+{
+    batch::run_time_model model;
+    for (int round = 0; round < 20; ++round)
+    {
+        const batch::run_kind kind = kind_of("x", "q", "job" + std::to_string(round));
+        const int tail = 1 + round % 3;
+        for (int number = 1; number < 4; ++number)
+        {
+            if (number != tail)
+            {
+                model.record_finished(kind, worker_named(number), declared, declared);
+            }
+        }
+        for (int report = 0; report < 4; ++report)
+        {
+            model.record_progress(kind, worker_named(tail), declared, 25,
+                                  times(declared, 0.25 * 7));
+        }
+        model.record_finished(kind, worker_named(0), declared, declared);
+    }
+    for (int number = 0; number < 4; ++number)
+    {
+        CAPTURE(number);
+        CHECK(model.speed_of(worker_named(number)) == 1);
+    }
+}
+
 // Guards against fast workers that are held for slow: a gang's members wait for the slowest.
 TEST_CASE("gangs say nothing about the speed of one worker")
 {
