Check that implausible progress is recorded by name

Cause: no test covered the line run_time_ignored, and the linter refused two copies in virtual_site and a captured binding.

Change: a scheduler with one worker that reports negative, too large, falling and leaping progress.

--- a/tests/run_times_site_test.cpp
+++ b/tests/run_times_site_test.cpp
@@ -7,8 +7,10 @@
 #include <doctest/doctest.h>
 #include <iomanip>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <sstream>
 
 /// Sites with workers of unequal speed, wrong declared run times and long tails, in virtual time:
@@ -383,6 +385,90 @@
     CHECK(different == 0);
 }
 
+/// One worker of a scheduler that learns run times, and a job of one unit that runs on it.
+struct one_run
+{
+    one_run() : scheduler(settings(), core::instant_at(seconds{1}))
+    {
+        this->report.agent = batch::agent_id("w0");
+        this->report.lists_valid = true;
+        this->report.worker.announced = true;
+        this->report.worker.started_at = milliseconds{1};
+        this->report.worker.service = core::service_id("service");
+        this->report.worker.capacity = {32000, 131072, 8};
+        this->scheduler.add_agent(this->report.agent);
+        batch::step_spec step = step_with(1, 1, false);
+        step.estimate = seconds{10};
+        this->scheduler.add_job(one_step_job("job", "x", policy_of(queues()[1]), step), {}, false,
+                                core::instant_at(seconds{2}));
+        this->report_at(seconds{2}, std::nullopt);
+        this->run.unit = {core::job_id("job"), 0, 0, 0};
+        this->run.run = this->orders.at(0).run;
+        this->run.phase = batch::run_phase::running;
+    }
+
+    static batch::scheduler_settings settings()
+    {
+        batch::scheduler_settings result;
+        result.learn_run_times = true;
+        return result;
+    }
+
+    /// @return the ignored values that were recorded.
+    std::vector<std::string> report_at(milliseconds at, std::optional<std::int64_t> percent)
+    {
+        this->report.runs.clear();
+        if (percent.has_value())
+        {
+            this->run.progress_percent = *percent;
+            this->report.runs.push_back(this->run);
+        }
+        const core::instant now = core::instant_at(at);
+        this->scheduler.on_report(this->report, now);
+        this->scheduler.on_renewal_sent(this->report.agent, now);
+        this->orders = this->scheduler.schedule(now, at, true);
+        if (this->orders.empty())
+        {
+            this->scheduler.on_persisted(core::job_id("job"),
+                                         this->scheduler.unpersisted_version(core::job_id("job")));
+            this->orders = this->scheduler.schedule(now, at, true);
+        }
+        std::vector<std::string> ignored;
+        for (const batch::decision_record& record : this->scheduler.take_records())
+        {
+            if (record.event == "run_time_ignored")
+            {
+                ignored.push_back(record.detail);
+            }
+        }
+        return ignored;
+    }
+
+    batch::site_scheduler scheduler;
+    batch::worker_report report;
+    batch::reported_run run;
+    std::vector<batch::agent_command> orders;
+};
+
+// Guards against estimates from values that a broken worker sends, and against a log that they
+// fill.
+TEST_CASE("progress that is not plausible is recorded by name, at most once a second")
+{
+    one_run one;
+    CHECK(one.report_at(milliseconds{2600}, 5).empty());
+    const auto negative = one.report_at(milliseconds{3200}, -7);
+    REQUIRE(negative.size() == 1);
+    CHECK(negative[0].find("w0: progress of -7 %; 1 values") != std::string::npos);
+    CHECK(one.report_at(milliseconds{3500}, 140).empty());
+    const auto later = one.report_at(milliseconds{4300}, std::numeric_limits<std::int64_t>::max());
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].find("2 values") != std::string::npos);
+    // Progress that falls begins anew; then 90 % of 10 s in a millisecond.
+    CHECK(one.report_at(milliseconds{5400}, 4).empty());
+    CHECK(one.report_at(milliseconds{5401}, 94).size() == 1);
+    CHECK(one.scheduler.take_run_times().empty());
+}
+
 // Guards against log lines and state of the model on sites that have not enabled it.
 TEST_CASE("without the setting nothing is learned")
 {
@@ -416,10 +502,10 @@
         {
             FAIL_CHECK(violation);
         }
-        for (const auto& [id, result] : site.results())
+        for (const auto& each : site.results())
         {
-            CAPTURE(id.str());
-            CHECK(result.ended.has_value());
+            CAPTURE(each.first.str());
+            CHECK(each.second.ended.has_value());
         }
     }
 }
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -122,7 +122,7 @@
 
 struct virtual_site::implementation
 {
-    implementation(std::uint32_t seed, site_shape wanted) : shape(wanted), random(seed)
+    implementation(std::uint32_t seed, site_shape wanted) : shape(std::move(wanted)), random(seed)
     {
         for (int rack = 0; rack < this->shape.racks; ++rack)
         {
@@ -1207,7 +1207,7 @@
 };
 
 virtual_site::virtual_site(std::uint32_t seed, site_shape shape)
-    : inner(std::make_unique<implementation>(seed, shape))
+    : inner(std::make_unique<implementation>(seed, std::move(shape)))
 {
 }
 
