Pack units so that workers stay whole, where a setting asks for it

Up to a quarter of the workers is kept whole by the demand lately seen for whole workers, for at most 1 s of a small unit's wait and never against urgent or guaranteed work. One-rack gangs choose the rack where they break the fewest whole workers. Work beyond its guarantee does not stop runs that end within 0.9 s before it has waited as long itself.

--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -1,5 +1,7 @@
 #include "batch/placement.hpp"
 
+#include "batch/packing.hpp"
+
 #include <algorithm>
 #include <functional>
 #include <limits>
@@ -63,8 +65,33 @@
     return total;
 }
 
+/// @return looseness() where workers are kept whole; 0 elsewhere.
+double packed_looseness(const step_spec& step, const candidate_worker& worker)
+{
+    return worker.capacity == resource_amount{} ? 0
+                                                : looseness(step.resource_request(), worker.free);
+}
+
+/// @return fragmentation_after() where workers are kept whole; zeros elsewhere.
+rack_fragmentation packed_fragmentation(const step_spec& step,
+                                        const std::vector<candidate_worker>& rack,
+                                        const std::vector<unit_placement>& placed)
+{
+    if (rack.front().capacity == resource_amount{})
+    {
+        return {};
+    }
+    std::vector<agent_id> used;
+    for (const unit_placement& each : placed)
+    {
+        used.push_back(each.agent);
+    }
+    return fragmentation_after(step.resource_request(), rack, used);
+}
+
 /// Fills the workers one by one: those without recent failures first, then those in the data rack,
-/// then those with the fewest free resources.
+/// then those that the units keep in use for the least additional time and that they fill best,
+/// where workers are kept whole, then those with the fewest free resources.
 /// @return placements of as many units as fit.
 std::vector<unit_placement> fill(const step_spec& step, const std::vector<std::int64_t>& units,
                                  const std::vector<candidate_worker>& workers)
@@ -79,11 +106,11 @@
     }
     const auto off_data_rack = [&step](const candidate_worker& worker)
     { return !step.data_rack.empty() && worker.rack.str() != step.data_rack; };
-    const auto key = [&off_data_rack](const candidate_worker& worker)
+    const auto key = [&step, &off_data_rack](const candidate_worker& worker)
     {
-        return std::tuple(worker.has_recent_failures, off_data_rack(worker),
-                          worker.free.accelerators, worker.free.millicores,
-                          std::cref(worker.agent));
+        return std::tuple(worker.has_recent_failures, off_data_rack(worker), worker.added_quarters,
+                          packed_looseness(step, worker), worker.free.accelerators,
+                          worker.free.millicores, std::cref(worker.agent));
     };
     std::sort(order.begin(), order.end(),
               [&key](const candidate_worker* left, const candidate_worker* right)
@@ -323,17 +350,17 @@
         return fill_all(step, units, workers);
     }
     std::optional<std::vector<unit_placement>> best;
-    std::tuple<bool, std::int64_t> best_key;
+    std::tuple<bool, rack_fragmentation, std::int64_t> best_key;
     for (const std::vector<candidate_worker>& local : by_rack(workers))
     {
-        const std::tuple key(has_data_rack && local.front().rack.str() != step.data_rack,
-                             free_accelerators(local));
-        if (best.has_value() && key >= best_key)
+        auto placed = fill_all(step, units, local);
+        if (!placed.has_value())
         {
             continue;
         }
-        auto placed = fill_all(step, units, local);
-        if (placed.has_value())
+        const std::tuple key(has_data_rack && local.front().rack.str() != step.data_rack,
+                             packed_fragmentation(step, local, *placed), free_accelerators(local));
+        if (!best.has_value() || key < best_key)
         {
             best = std::move(placed);
             best_key = key;
--- a/src/batch/placement.hpp
+++ b/src/batch/placement.hpp
@@ -29,6 +29,9 @@
     double speed = 1;
     /// The worker is cold, or its zone was lately restored to service; others are preferred.
     bool warming_up = false;
+    /// The two fields below are set only where workers are kept whole; see packing.hpp.
+    resource_amount capacity{};
+    std::int64_t added_quarters{};
 };
 
 /// Run that may be preempted to free resources.
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/packing.hpp"
 #include "batch/placement.hpp"
 #include "batch/site_state.hpp"
 
@@ -155,12 +156,28 @@
     [[nodiscard]] std::vector<candidate_worker>
     candidate_workers(const placement_group& group, const resources_by_worker& available,
                       core::instant now) const;
+    /// @param spare_ending leaves out runs that end soon; see ends_soon().
     /// @return the runs that work of the priority may preempt. Valid until a run starts or stops.
-    [[nodiscard]] const victim_pool& preemption_candidates(std::int64_t priority,
+    [[nodiscard]] const victim_pool& preemption_candidates(std::int64_t priority, bool spare_ending,
                                                            core::instant now);
     /// @return core-seconds of work that stopping the run would lose.
     [[nodiscard]] double preemption_cost(const run_state& run, const step_spec& step,
                                          core::instant now) const;
+    // Whole workers (scheduler_packing.cpp); no effect without keep_whole_workers.
+    /// Counts the demand for whole workers, and finds until when each worker is in use.
+    void prepare_packing(const std::vector<placement_group>& groups, core::instant now);
+    /// @return whether the group leaves the workers alone that are kept whole.
+    [[nodiscard]] bool leaves_workers_whole(const placement_group& group, core::instant now) const;
+    /// Sets the candidates' packing properties, and removes those that the group leaves alone.
+    void add_packing(const placement_group& group, std::vector<candidate_worker>& candidates,
+                     core::instant now) const;
+    /// Notes that a unit of the group starts on the worker.
+    void note_busy(const placement_group& group, std::size_t worker, core::instant now);
+    /// @return whether the group waits for runs that end soon rather than having them stopped.
+    [[nodiscard]] bool waits_for_ending_runs(const placement_group& group, core::instant now) const;
+    /// @return whether the run is expected to end by itself as soon as it could be stopped.
+    [[nodiscard]] bool ends_soon(const run_state& run, core::instant now) const;
+
     [[nodiscard]] resources_by_worker available_resources() const;
     [[nodiscard]] bool may_place_on(const worker_state& worker, const job_state& job,
                                     const step_spec& step, core::instant now) const;
@@ -169,6 +186,8 @@
     /// @return whether the group has waited so long on a service with spare capacity that whatever
     ///         room there is may be used.
     [[nodiscard]] bool waits_beside_spare(const placement_group& group, core::instant now) const;
+    /// @return a number that differs for units of a step that may not use the same room.
+    [[nodiscard]] int wait_stage(const placement_group& group, core::instant now) const;
     /// @return whether the group still waits for room near its data or in one rack.
     [[nodiscard]] bool is_within_locality_wait(const placement_group& group,
                                                core::instant now) const;
@@ -252,8 +271,12 @@
     std::map<std::size_t, backfill_reservation> backfill_reservations;
     std::set<core::service_id> services_with_spare;
     std::map<unit_key, preemption_reservation> preemption_reservations;
-    /// Result of preemption_candidates() in this pass, with its priority.
-    std::optional<std::pair<std::int64_t, victim_pool>> victims;
+    /// Result of preemption_candidates() in this pass, with its arguments.
+    std::optional<std::pair<std::pair<std::int64_t, bool>, victim_pool>> victims;
+    /// When the last run of each worker is expected to end, by worker_state::index.
+    std::vector<core::instant> busy_until;
+    std::map<core::service_id, whole_worker_demand> whole_demand;
+    core::instant demand_counted_at{};
     std::size_t pending_units{};
     std::size_t placement_attempts{};
     core::instant next_wait_check{};
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -141,6 +141,7 @@
                                         worker.failure_history.quarantined_until > now ||
                                         (!failed_on.empty() && failed_on.contains(id));
     }
+    this->add_packing(group, candidates, now);
     return candidates;
 }
 
@@ -227,14 +228,14 @@
     this->placement_attempts = 0;
     this->find_services_with_spare(available);
     this->deduct_preemption_reservations(groups, available);
-    std::pair<const step_spec*, bool> full_step{};
+    this->prepare_packing(groups, now);
+    std::pair<const step_spec*, int> full_step{};
     for (std::size_t next = 0; next < groups.size(); ++next)
     {
         const std::span rest = std::span<const placement_group>(groups).subspan(next);
         // All units of a step request the same resources: when one cannot be placed, neither can
         // the others, except those with a preemption reservation or without a wait for a rack.
-        const std::pair step(&this->spec_of(rest.front()),
-                             this->is_within_locality_wait(rest.front(), now));
+        const std::pair step(&this->spec_of(rest.front()), this->wait_stage(rest.front(), now));
         const std::size_t alike = step == full_step ? 0 : this->count_units_of_step(rest, now);
         if (alike > 1)
         {
@@ -282,8 +283,7 @@
     std::size_t count = 0;
     while (!step.gang && count < groups.size() && &this->spec_of(groups[count]) == &step &&
            groups[count].occurrence == groups.front().occurrence &&
-           this->is_within_locality_wait(groups[count], now) ==
-               this->is_within_locality_wait(groups.front(), now) &&
+           this->wait_stage(groups[count], now) == this->wait_stage(groups.front(), now) &&
            state.units[to_index(groups[count].units.front())].failed_on.empty() &&
            !this->preemption_reservations.contains(reservation_key(groups[count])))
     {
@@ -458,6 +458,7 @@
     for (const unit_placement& placement : placements)
     {
         available[placement.worker] -= request;
+        this->note_busy(group, placement.worker, now);
         const auto reservation = this->backfill_reservations.find(placement.worker);
         if (reservation != this->backfill_reservations.end() &&
             now + this->spec_of(group).estimate > reservation->second.until)
--- a/src/batch/scheduler_preemption.cpp
+++ b/src/batch/scheduler_preemption.cpp
@@ -92,9 +92,11 @@
 }
 
 const victim_pool& site_scheduler::implementation::preemption_candidates(std::int64_t priority,
+                                                                         bool spare_ending,
                                                                          core::instant now)
 {
-    if (this->victims.has_value() && this->victims->first == priority)
+    const std::pair arguments(priority, spare_ending);
+    if (this->victims.has_value() && this->victims->first == arguments)
     {
         return this->victims->second;
     }
@@ -102,7 +104,8 @@
     for (const auto& [number, run] : this->runs)
     {
         const auto job = this->jobs.find(run.job);
-        if (run.stopping || job == this->jobs.end() || job->second.policy.priority <= priority)
+        if (run.stopping || job == this->jobs.end() || job->second.policy.priority <= priority ||
+            (spare_ending && this->ends_soon(run, now)))
         {
             continue;
         }
@@ -119,7 +122,7 @@
         }
         found.push_back(std::move(candidate));
     }
-    this->victims.emplace(priority, std::move(found));
+    this->victims.emplace(arguments, std::move(found));
     return this->victims->second;
 }
 
@@ -152,25 +155,28 @@
     const double max_cost =
         group.guaranteed ? std::numeric_limits<double>::infinity()
                          : weights.preemption_cost_base + gain * weights.preemption_cost_factor;
-    const victim_pool& candidates = this->preemption_candidates(group.job->policy.priority, now);
-    const auto plan_with = [&](placement_constraints rules)
+    const auto plan_with = [&](placement_constraints rules, bool spare_ending)
     {
         std::vector<candidate_worker> workers =
             this->candidate_workers(group, this->available_after_stops(available), now);
         // The group starts under the same rules as its plan.
         this->apply_reservations(group, workers, now);
-        return plan_preemption(step, group.units, workers, candidates, rules, max_cost);
+        return plan_preemption(
+            step, group.units, workers,
+            this->preemption_candidates(group.job->policy.priority, spare_ending, now), rules,
+            max_cost);
     };
-    auto plan = plan_with(this->constraints_for(group, now));
+    auto plan =
+        plan_with(this->constraints_for(group, now), this->waits_for_ending_runs(group, now));
     if (!plan.has_value() && group.guaranteed)
     {
         this->release_unguaranteed_reservations(available);
-        plan = plan_with(this->constraints_for(group, now));
+        plan = plan_with(this->constraints_for(group, now), /*spare_ending=*/false);
     }
     const bool any_rack = !plan.has_value() && group.guaranteed;
     if (any_rack)
     {
-        plan = plan_with({});
+        plan = plan_with({}, /*spare_ending=*/false);
     }
     if (!plan.has_value())
     {
--- a/tests/packing_test.cpp
+++ b/tests/packing_test.cpp
@@ -1,3 +1,5 @@
+#include "batch/packing.hpp"
+#include "batch/placement.hpp"
 #include "support/virtual_site.hpp"
 
 #include <doctest/doctest.h>
@@ -188,4 +190,106 @@
     }
 }
 
+batch::candidate_worker packed_worker(const std::string& agent, const std::string& rack,
+                                      std::int64_t accelerators, std::int64_t added_quarters = 0)
+{
+    batch::candidate_worker worker;
+    worker.agent = batch::agent_id(agent);
+    worker.rack = core::rack_id(rack);
+    worker.free = {accelerators * 4000, 131072, accelerators};
+    worker.capacity = {32000, 131072, 8};
+    worker.added_quarters = added_quarters;
+    return worker;
+}
+
+std::string placed_on(const batch::step_spec& step,
+                      const std::vector<batch::candidate_worker>& workers,
+                      batch::placement_constraints constraints = {})
+{
+    std::vector<std::int64_t> units(static_cast<std::size_t>(step.units));
+    std::iota(units.begin(), units.end(), 0);
+    std::string agents;
+    for (const auto& each :
+         batch::place_units(step, units, workers, constraints)
+             .value_or(decltype(batch::place_units_that_fit(step, units, workers, constraints)){}))
+    {
+        agents += each.agent.str();
+    }
+    return agents;
+}
+
+TEST_CASE("a small unit does not keep a worker in use for longer than the worker's other runs")
+{
+    const batch::step_spec small = step_of(1, 1, seconds{4});
+    CHECK(placed_on(small, {packed_worker("a", "r", 2, 3), packed_worker("b", "r", 5, 0)}) == "b");
+    // Among workers that it does not keep in use for longer, the one that it fills best.
+    CHECK(placed_on(small, {packed_worker("a", "r", 2), packed_worker("b", "r", 5)}) == "a");
+    CHECK(batch::added_quarters(seconds{4}, seconds{4}) == 0);
+    CHECK(batch::added_quarters(seconds{4}, milliseconds{3900}) == 1);
+    CHECK(batch::added_quarters(seconds{4}, milliseconds{0}) == 4);
+    CHECK(batch::added_quarters(milliseconds{0}, milliseconds{0}) == 0);
+}
+
+TEST_CASE("a unit goes where its scarcest resource is used up, not where accelerators are few")
+{
+    batch::step_spec step = step_of(1, 1, seconds{4});
+    step.per_unit.millicores = 8000;
+    batch::candidate_worker few_cores = packed_worker("a", "r", 6);
+    few_cores.free.millicores = 8000;
+    CHECK(placed_on(step, {few_cores, packed_worker("b", "r", 3)}) == "a");
+}
+
+TEST_CASE("a gang of one rack leaves racks with whole workers alone")
+{
+    const batch::step_spec pair = step_of(2, 4, seconds{4});
+    // Rack 1 has fewer free accelerators, but the gang would break a whole worker there.
+    CHECK(placed_on(pair,
+                    {packed_worker("a", "1", 4), packed_worker("b", "1", 3),
+                     packed_worker("c", "1", 8), packed_worker("d", "2", 4),
+                     packed_worker("e", "2", 4), packed_worker("f", "2", 8)},
+                    {.one_rack = true}) == "de");
+}
+
+TEST_CASE("demand for whole workers decays, and keeps at most a quarter of the workers")
+{
+    batch::whole_worker_demand demand;
+    const auto at = [](int second) { return core::instant_at(seconds{second}); };
+    CHECK(demand.workers_to_keep(40, at(1)) == 0);
+    demand.record(8, at(1));
+    CHECK(demand.workers_to_keep(40, at(1)) == 8);
+    CHECK(demand.workers_to_keep(40, at(6)) == 4);
+    CHECK(demand.workers_to_keep(12, at(1)) == 3);
+    CHECK(demand.workers_to_keep(40, at(120)) == 0);
+}
+
+/// Four workers, a job that needs a whole one, and then one of four small units on each.
+milliseconds wait_beside_kept_workers(std::int64_t priority, bool guaranteed)
+{
+    testing::site_shape shape;
+    shape.racks = 1;
+    shape.workers_a_rack = 4;
+    shape.keep_whole_workers = true;
+    virtual_site site(1, shape);
+    site.set_terms({}, {{core::organisation_id("owner"), guaranteed ? 32 : 0}});
+    site.submit(milliseconds{2000},
+                one_step_job("whole", "x", queue_with(1), step_of(3, 8, seconds{1})),
+                {{seconds{1}}});
+    site.submit(milliseconds{4000},
+                one_step_job("small", "owner", queue_with(priority), step_of(4, 5, seconds{8})),
+                {{seconds{8}}});
+    site.play(seconds{20});
+    CHECK(site.violations().empty());
+    const auto& result = site.results().at(core::job_id("small"));
+    return result.all_started.value() - result.accepted;
+}
+
+TEST_CASE("kept workers are given up after a second, and at once to urgent and guaranteed work")
+{
+    const milliseconds waited = wait_beside_kept_workers(2, false);
+    CHECK(waited >= milliseconds{900});
+    CHECK(waited <= milliseconds{1500});
+    CHECK(wait_beside_kept_workers(0, false) < milliseconds{300});
+    CHECK(wait_beside_kept_workers(0, true) < milliseconds{300});
+}
+
 } // namespace
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -362,6 +362,7 @@
         settings.lease_timeout = this->shape.lease + milliseconds{450};
         settings.remote_factor = this->shape.remote_factor;
         settings.weights = this->shape.weights;
+        settings.keep_whole_workers = this->shape.keep_whole_workers;
         this->epoch = epoch;
         this->scheduler = std::make_unique<batch::site_scheduler>(settings, this->now);
         this->scheduler->set_policies(this->queues, this->guaranteed);
--- a/tests/support/virtual_site.hpp
+++ b/tests/support/virtual_site.hpp
@@ -35,6 +35,7 @@
     batch::placement_weights weights;
     /// Agents confirm before work is started without writing where; off to show what that is for.
     bool guarded_takeover = true;
+    bool keep_whole_workers = false;
 };
 
 /// What is true of a job, as against what is declared.
