--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -82,6 +82,7 @@
         return {};
     }
     std::vector<agent_id> used;
+    used.reserve(placed.size());
     for (const unit_placement& each : placed)
     {
         used.push_back(each.agent);
--- a/tests/packing_test.cpp
+++ b/tests/packing_test.cpp
@@ -63,11 +63,11 @@
 double only_loss(const virtual_site& site, const std::string& reason)
 {
     double found = 0;
-    for (const auto& [each, core_seconds] : site.thrown_away())
+    for (const auto& loss : site.thrown_away())
     {
-        CAPTURE(each);
-        CHECK((each == reason || core_seconds == 0));
-        found += each == reason ? core_seconds : 0;
+        CAPTURE(loss.first);
+        CHECK((loss.first == reason || loss.second == 0));
+        found += loss.first == reason ? loss.second : 0;
     }
     return found;
 }
