--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -1,5 +1,7 @@
 #include "batch/placement.hpp"
 
+#include "batch/packing.hpp"
+
 #include <algorithm>
 #include <functional>
 #include <limits>
@@ -63,9 +65,35 @@
     return total;
 }
 
+/// @return looseness() where workers are kept whole; 0 elsewhere.
+double packed_looseness(const step_spec& step, const candidate_worker& worker)
+{
+    return worker.capacity == resource_amount{} ? 0
+                                                : looseness(step.resource_request(), worker.free);
+}
+
+/// @return fragmentation_after() where workers are kept whole; zeros elsewhere.
+rack_fragmentation packed_fragmentation(const step_spec& step,
+                                        const std::vector<candidate_worker>& rack,
+                                        const std::vector<unit_placement>& placed)
+{
+    if (rack.front().capacity == resource_amount{})
+    {
+        return {};
+    }
+    std::vector<agent_id> used;
+    used.reserve(placed.size());
+    for (const unit_placement& each : placed)
+    {
+        used.push_back(each.agent);
+    }
+    return fragmentation_after(step.resource_request(), rack, used);
+}
+
 /// Fills the workers one by one: those without recent failures first, then those in the data rack,
-/// then those that are not warming up, then those of the preferred speed, then those with the
-/// fewest free resources.
+/// then those that are not warming up, then those of the preferred speed, then those that the units
+/// keep in use for the least additional time and that they fill best, where workers are kept whole,
+/// then those with the fewest free resources.
 /// @return placements of as many units as fit.
 std::vector<unit_placement> fill(const step_spec& step, const std::vector<std::int64_t>& units,
                                  const std::vector<candidate_worker>& workers)
@@ -80,10 +108,11 @@
     }
     const auto off_data_rack = [&step](const candidate_worker& worker)
     { return !step.data_rack.empty() && worker.rack.str() != step.data_rack; };
-    const auto key = [&off_data_rack](const candidate_worker& worker)
+    const auto key = [&step, &off_data_rack](const candidate_worker& worker)
     {
         return std::tuple(worker.has_recent_failures, off_data_rack(worker), worker.warming_up,
-                          worker.speed_order, worker.free.accelerators, worker.free.millicores,
+                          worker.speed_order, worker.added_quarters, packed_looseness(step, worker),
+                          worker.free.accelerators, worker.free.millicores,
                           std::cref(worker.agent));
     };
     std::sort(order.begin(), order.end(),
@@ -364,29 +393,18 @@
         return fill_all(step, units, workers);
     }
     std::optional<std::vector<unit_placement>> best;
-    std::tuple<bool, bool, int, std::int64_t> best_key;
+    std::tuple<bool, bool, int, rack_fragmentation, std::int64_t> best_key;
     for (const std::vector<candidate_worker>& local : by_rack(workers))
     {
-        const bool off_data_rack = has_data_rack && local.front().rack.str() != step.data_rack;
-        int best_order = std::numeric_limits<int>::max();
-        for (const candidate_worker& worker : local)
-        {
-            best_order = std::min(best_order, worker.speed_order);
-        }
-        // The workers of a rack are in one zone, which is restored to service as a whole.
-        const bool warming_up = local.front().warming_up;
-        if (best.has_value() &&
-            std::tuple(off_data_rack, warming_up, best_order, free_accelerators(local)) >= best_key)
-        {
-            continue;
-        }
         auto placed = fill_all(step, units, local);
         if (!placed.has_value())
         {
             continue;
         }
-        const std::tuple key(off_data_rack, warming_up, worst_speed_order(*placed, local),
-                             free_accelerators(local));
+        // The workers of a rack are in one zone, which is restored to service as a whole.
+        const std::tuple key(has_data_rack && local.front().rack.str() != step.data_rack,
+                             local.front().warming_up, worst_speed_order(*placed, local),
+                             packed_fragmentation(step, local, *placed), free_accelerators(local));
         if (!best.has_value() || key < best_key)
         {
             best = std::move(placed);
--- a/tests/support/virtual_site.cpp
+++ b/tests/support/virtual_site.cpp
@@ -379,6 +379,7 @@
         settings.learn_run_times = this->shape.learn_run_times;
         settings.order_by_value = this->shape.order_by_value;
         settings.fair_shares = this->shape.fair_shares;
+        settings.keep_whole_workers = this->shape.keep_whole_workers;
         this->epoch = epoch;
         this->scheduler = std::make_unique<batch::site_scheduler>(settings, this->now);
         this->scheduler->set_policies(this->queues, this->guaranteed);
