Count jobs that lapse while they run as not served

The largest jobs of a queue counted as served once they were begun in time, also where they completed after their value was gone, so that they were not moved forward although the queue served them too rarely. Jobs that lapse before they end no longer count as served, and the largest tenth goes first below 0.7, not 0.55, of the queue's service.

--- a/src/batch/group_order.cpp
+++ b/src/batch/group_order.cpp
@@ -22,7 +22,7 @@
 constexpr double max_age_ms = 1e10;
 // Callers require half the service of the whole queue for its largest tenth. The margin allows for
 // jobs that were started in time and complete late.
-constexpr double large_service_share = 0.55;
+constexpr double large_service_share = 0.7;
 constexpr std::size_t large_part = 10;
 // With fewer jobs than this, the largest tenth is a single job, which says nothing.
 constexpr std::size_t min_samples = 20;
--- a/src/batch/scheduler_order.cpp
+++ b/src/batch/scheduler_order.cpp
@@ -143,7 +143,14 @@
     {
         const bool counts =
             job.spec.occurrences == 0 && !job.cancelled && job.outcome != job_outcome::failed;
-        if (counts && this->age_of(job, 0, now, wall_time) <= service_window)
+        const core::milliseconds age = this->age_of(job, 0, now, wall_time);
+        const auto objective =
+            core::milliseconds{static_cast<std::int64_t>(
+                static_cast<double>(job.spec.critical_path().count()) * job.policy.max_slowdown)} +
+            job.policy.latency_allowance;
+        // A job that is begun in time and lapses before it ends was not served.
+        job.was_hopeless = job.was_hopeless || (job.is_active() && age > objective * lapse_factor);
+        if (counts && age <= service_window)
         {
             samples[job.policy.queue].push_back(
                 {total_work(job.spec), !job.was_hopeless && has_begun(job)});
