--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -22,7 +22,7 @@
 constexpr std::string_view variable_prefix = "CHICORYLIFT_";
 /// Environment variable with the path of the settings file.
 constexpr const char* settings_file_variable = "CHICORYLIFT_BOOT";
-constexpr std::array<std::string_view, 24> variables{
+constexpr std::array<std::string_view, 30> variables{
     "CHICORYLIFT_BOOT",
     "CHICORYLIFT_ROLE",
     "CHICORYLIFT_NAME",
@@ -47,6 +47,12 @@
     "CHICORYLIFT_ORDER_BY_VALUE",
     "CHICORYLIFT_FAIR_SHARES",
     "CHICORYLIFT_KEEP_WHOLE_WORKERS",
+    "CHICORYLIFT_MEMORY_MB",
+    "CHICORYLIFT_BUFFER_MB",
+    "CHICORYLIFT_MAX_DESCRIPTORS",
+    "CHICORYLIFT_MAX_CONNECTIONS_PER_ADDRESS",
+    "CHICORYLIFT_MAX_HEADER_FIELDS",
+    "CHICORYLIFT_MAX_JSON_VALUES",
 };
 
 absl::Status invalid(const std::string& setting, const std::string& value,
@@ -84,6 +90,37 @@
         ->default_str(std::to_string(value.count()));
 }
 
+/// Options that limit what callers can make the process hold.
+void add_limits(CLI::App& app, settings& values)
+{
+    app.add_option("--most-connections", values.max_connections,
+                   "entry: largest number of open client connections")
+        ->envname("CHICORYLIFT_MOST_CONNECTIONS")
+        ->capture_default_str();
+    app.add_option("--memory-mb", values.memory_mb,
+                   "memory of the machine in MB; 0 assumes the smallest supported machine")
+        ->envname("CHICORYLIFT_MEMORY_MB")
+        ->capture_default_str();
+    app.add_option("--buffer-mb", values.buffer_mb,
+                   "memory in MB for the buffers of all connections; 0 derives it from memory-mb")
+        ->envname("CHICORYLIFT_BUFFER_MB")
+        ->capture_default_str();
+    app.add_option("--max-descriptors", values.max_descriptors,
+                   "descriptors that the process may open, 200 for files; 0 derives no limit")
+        ->envname("CHICORYLIFT_MAX_DESCRIPTORS")
+        ->capture_default_str();
+    app.add_option("--max-connections-per-address", values.max_connections_per_address,
+                   "entry: open client connections from one IP address; 0 disables the limit")
+        ->envname("CHICORYLIFT_MAX_CONNECTIONS_PER_ADDRESS")
+        ->capture_default_str();
+    app.add_option("--max-header-fields", values.max_header_fields, "fields of a request header")
+        ->envname("CHICORYLIFT_MAX_HEADER_FIELDS")
+        ->capture_default_str();
+    app.add_option("--max-json-values", values.max_json_values, "values of a JSON body")
+        ->envname("CHICORYLIFT_MAX_JSON_VALUES")
+        ->capture_default_str();
+}
+
 void add_options(CLI::App& app, settings& values)
 {
     const char* const file = std::getenv(settings_file_variable);
@@ -132,10 +169,7 @@
                    "agent: seconds for which ended jobs can still be queried")
         ->envname("CHICORYLIFT_KEEP_ENDED_S")
         ->capture_default_str();
-    app.add_option("--most-connections", values.max_connections,
-                   "entry: largest number of open client connections")
-        ->envname("CHICORYLIFT_MOST_CONNECTIONS")
-        ->capture_default_str();
+    add_limits(app, values);
     add_time(
         app, "evacuation-ms", values.evacuation_limit, "CHICORYLIFT_EVACUATION_MS",
         "agent: time within which an evacuated zone gets no more work; 0 disables evacuations");
@@ -158,6 +192,39 @@
     app.add_flag("--check-settings", values.check_only, "check the settings and exit");
 }
 
+/// @return OK if the value is within the range or, where 0 has a meaning of its own, is 0.
+absl::Status check_count(const std::string& setting, std::uint32_t value, std::uint32_t min,
+                         std::uint32_t max, bool allows_zero, const std::string& unit)
+{
+    if ((value >= min && value <= max) || (allows_zero && value == 0))
+    {
+        return absl::OkStatus();
+    }
+    return invalid(setting, std::to_string(value),
+                   (allows_zero ? "0 or " : "") + std::to_string(min) + " to " +
+                       std::to_string(max) + " " + unit);
+}
+
+void check_limits(const settings& values, std::vector<absl::Status>& checks)
+{
+    constexpr std::uint32_t max_mb = 1U << 20U;
+    constexpr std::uint32_t max_count = 1U << 20U;
+    checks.push_back(check_count("most-connections", values.max_connections, 1, max_count, false,
+                                 "connections"));
+    // Less would not hold one request of the documented size beside the process itself.
+    checks.push_back(check_count("memory-mb", values.memory_mb, 32, max_mb, true, "MB"));
+    checks.push_back(check_count("buffer-mb", values.buffer_mb, 2, max_mb, true, "MB"));
+    // The files, the internal ports and the store's connections need about 400.
+    checks.push_back(check_count("max-descriptors", values.max_descriptors, 512, max_count, true,
+                                 "descriptors"));
+    checks.push_back(check_count("max-connections-per-address", values.max_connections_per_address,
+                                 1, max_count, true, "connections"));
+    checks.push_back(
+        check_count("max-header-fields", values.max_header_fields, 16, 16'384, false, "fields"));
+    checks.push_back(check_count("max-json-values", values.max_json_values, 1000, 4 * max_count,
+                                 false, "values"));
+}
+
 } // namespace
 
 absl::Status check_settings(const settings& values)
@@ -203,10 +270,7 @@
         checks.push_back(
             invalid("keep-ended-s", std::to_string(values.keep_ended_s), "at least 1"));
     }
-    if (values.max_connections == 0)
-    {
-        checks.push_back(invalid("most-connections", "0", "at least 1"));
-    }
+    check_limits(values, checks);
     for (absl::Status& checked : checks)
     {
         if (!checked.ok())
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -45,6 +45,18 @@
     std::int64_t keep_ended_s = 120;
     /// Entry: largest number of open client connections.
     std::uint32_t max_connections = 3000;
+    /// Memory of the machine in MB; 0 assumes the smallest machine that is supported.
+    std::uint32_t memory_mb = 0;
+    /// Memory in MB for the buffers of all connections of the process; 0 derives it from memory_mb.
+    std::uint32_t buffer_mb = 0;
+    /// Descriptors that the process may open, 200 of them for files; 0 derives no limit.
+    std::uint32_t max_descriptors = 0;
+    /// Entry: open connections to the client port from one IP address; 0 disables the limit.
+    std::uint32_t max_connections_per_address = 0;
+    /// Fields of a request header.
+    std::uint32_t max_header_fields = 100;
+    /// Values of a JSON body.
+    std::uint32_t max_json_values = 262'144;
     /// Agent: time within which a leader stops placing work in an evacuated availability zone; 0
     /// disables evacuations.
     core::milliseconds evacuation_limit{0};
--- a/tests/support/batch_site.cpp
+++ b/tests/support/batch_site.cpp
@@ -43,7 +43,8 @@
 }
 
 batch_site::batch_site(int entry_count, int agent_count,
-                       const std::vector<std::string>& agent_flags, bool relays_store)
+                       const std::vector<std::string>& agent_flags, bool relays_store,
+                       const std::vector<std::string>& entry_flags)
     : folder(fresh_folder())
 {
     const std::string store = free_address();
@@ -87,11 +88,12 @@
         one.front = free_address();
         one.ready = free_address();
         one.metrics = free_address();
-        one.program = process({daemon_path(), "batch",        "--role",  "entry",     "--name",
-                               name,          "--zone",       "z",       "--region",  "r",
-                               "--listen",    free_address(), "--front", one.front,   "--ready",
-                               one.ready,     "--store",      store,     "--metrics", one.metrics},
-                              this->folder + "/" + name + ".log");
+        std::vector<std::string> command{
+            daemon_path(), "batch",    "--role",  "entry",    "--name",       name,       "--zone",
+            "z",           "--region", "r",       "--listen", free_address(), "--front",  one.front,
+            "--ready",     one.ready,  "--store", store,      "--metrics",    one.metrics};
+        command.insert(command.end(), entry_flags.begin(), entry_flags.end());
+        one.program = process(command, this->folder + "/" + name + ".log");
         this->entries.push_back(std::move(one));
     }
 }
@@ -204,6 +206,11 @@
     return this->entries[static_cast<std::size_t>(entry)].metrics;
 }
 
+std::string batch_site::agent_metrics(int agent) const
+{
+    return this->agents[static_cast<std::size_t>(agent)].metrics;
+}
+
 std::string batch_site::agent_address(int agent) const
 {
     return this->agents[static_cast<std::size_t>(agent)].listen;
--- a/tests/support/batch_site.hpp
+++ b/tests/support/batch_site.hpp
@@ -31,8 +31,9 @@
 public:
     /// @param agent_flags further flags of every agent.
     /// @param relays_store each agent reaches the store through a relay of its own.
+    /// @param entry_flags further flags of every entry.
     batch_site(int entries, int agents, const std::vector<std::string>& agent_flags = {},
-               bool relays_store = false);
+               bool relays_store = false, const std::vector<std::string>& entry_flags = {});
     ~batch_site();
     batch_site(const batch_site&) = delete;
     batch_site& operator=(const batch_site&) = delete;
@@ -59,6 +60,7 @@
     [[nodiscard]] std::string front(int entry) const;
     [[nodiscard]] std::string ready(int entry) const;
     [[nodiscard]] std::string metrics(int entry) const;
+    [[nodiscard]] std::string agent_metrics(int agent) const;
     /// @return where an agent takes messages of other agents.
     [[nodiscard]] std::string agent_address(int agent) const;
     /// @return where an agent takes its worker's announcements.
