Bound what callers can make a process hold

1,200 connections with 250 KB of body each raised an entry to 316 MB on a machine of 160 MB, and nothing limited all connections together, requests read ahead, unread answers, or objects built from JSON.

JSON is counted before it is built: 87,000 empty objects in one body took 75 MB. Agents accept messages of 4 MB instead of 16, and 1,000 of a peer instead of 20,000. Large freed blocks return to the system. The protobuf library no longer writes an unlimited line per malformed message to standard error.

--- a/include/chicorylift/batch/job.hpp
+++ b/include/chicorylift/batch/job.hpp
@@ -143,6 +143,12 @@
 /// Maximum size of a job, in units over all steps and occurrences.
 inline constexpr std::int64_t max_units = 100'000;
 
+/// Maximum number of a job's steps.
+inline constexpr std::size_t max_job_steps = 1000;
+
+/// @return invalid_request if a job cannot have so many steps.
+[[nodiscard]] absl::Status validate_step_count(std::size_t steps);
+
 /// Validates a job from a caller.
 /// @return invalid_request describing the first value that is out of range.
 [[nodiscard]] absl::Status validate_job(const job_spec& job);
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -15,8 +15,6 @@
 using core::error_kind;
 using core::make_error;
 
-constexpr std::size_t max_steps = 1000;
-
 absl::Status invalid_step(std::size_t step, const std::string& problem)
 {
     return make_error(error_kind::invalid_request, "step " + std::to_string(step) + ": " + problem);
@@ -170,13 +168,23 @@
     return total;
 }
 
+absl::Status validate_step_count(std::size_t steps)
+{
+    if (steps == 0 || steps > max_job_steps)
+    {
+        return make_error(error_kind::invalid_request, "the job has " + std::to_string(steps) +
+                                                           " steps; the allowed range is 1 to " +
+                                                           std::to_string(max_job_steps));
+    }
+    return absl::OkStatus();
+}
+
 absl::Status validate_job(const job_spec& job)
 {
-    if (job.steps.empty() || job.steps.size() > max_steps)
+    const absl::Status counted = validate_step_count(job.steps.size());
+    if (!counted.ok())
     {
-        return make_error(error_kind::invalid_request,
-                          "the job has " + std::to_string(job.steps.size()) +
-                              " steps; the allowed range is 1 to " + std::to_string(max_steps));
+        return counted;
     }
     std::int64_t units = 0;
     for (std::size_t number = 0; number < job.steps.size(); ++number)
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -23,7 +23,6 @@
 constexpr int linger_ms = 200;
 constexpr int min_reconnect_interval_ms = 100;
 constexpr int max_reconnect_interval_ms = 3000;
-constexpr int receive_high_water_mark = 20'000;
 constexpr int ping_interval_ms = 800;
 constexpr int ping_timeout_ms = 1200;
 constexpr int max_receive_batch = 256;
@@ -62,8 +61,8 @@
         : inbound(this->context, zmq::socket_type::router)
     {
         this->inbound.set(zmq::sockopt::linger, 0);
-        this->inbound.set(zmq::sockopt::rcvhwm, receive_high_water_mark);
-        this->inbound.set(zmq::sockopt::maxmsgsize, max_message_bytes);
+        this->inbound.set(zmq::sockopt::rcvhwm, settings.receive_high_water_mark);
+        this->inbound.set(zmq::sockopt::maxmsgsize, settings.max_received_bytes);
         this->inbound.bind("tcp://" + settings.listen_address);
     }
 
--- a/src/net/transport.hpp
+++ b/src/net/transport.hpp
@@ -13,6 +13,9 @@
 namespace chicorylift::net
 {
 
+/// Largest message that any process accepts, in bytes.
+inline constexpr std::int64_t max_message_bytes = 16 << 20;
+
 /// Addresses and limits of a transport.
 struct transport_settings
 {
@@ -23,6 +26,10 @@
     std::string incarnation;
     std::size_t send_queue_capacity = 8192;
     int send_high_water_mark = 1000;
+    /// Messages of one peer that may wait to be received.
+    int receive_high_water_mark = 20'000;
+    /// Largest accepted message; a peer that sends a larger one is disconnected.
+    std::int64_t max_received_bytes = max_message_bytes;
     /// Sends heartbeats on outgoing connections, so that dead ones are replaced.
     bool enable_keepalive = false;
 };
@@ -43,9 +50,6 @@
     std::uint64_t unsent{};
 };
 
-/// Largest accepted message, in bytes.
-inline constexpr std::int64_t max_message_bytes = 16 << 20;
-
 /// Exchanges messages with other processes over ZeroMQ, on its own thread.
 class transport
 {
--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -17,6 +17,11 @@
 
 constexpr std::int64_t jitter_steps = 12;
 constexpr core::milliseconds jitter_step{20};
+// An agent sends about one report a second; a thousand cover a leader that stands still for
+// minutes.
+constexpr int max_waiting_per_peer = 1000;
+// Orders that start 1,000 units with the longest payload on one worker.
+constexpr std::int64_t max_agent_message_bytes = 4 << 20;
 // Time for the last report and the resignation messages to be sent before the process exits.
 constexpr core::milliseconds shutdown_flush_time{150};
 
@@ -35,6 +40,7 @@
     : loop(loop), values(std::move(values)), incarnation(support::random_hex_id()),
       store(std::make_unique<platform::table_adapter>(loop, this->values.store)),
       worker(std::make_unique<platform::worker_adapter>(loop, this->values.worker)),
+      buffers(make_buffer_budget(this->values)), refusals(loop, this->metrics, this->buffers),
       lease(lease_duration(this->values)), liveness(core::boot_clock::now()),
       election(election_settings_for(this->values.name), core::boot_clock::now())
 {
@@ -45,10 +51,14 @@
     net::async_server_limits limits;
     limits.max_connections = 64;
     limits.max_body_bytes = 4U << 20U;
+    limits.max_header_fields = this->values.max_header_fields;
+    const net::server_context context{this->buffers,
+                                      [this](net::refusal reason) { this->refusals.note(reason); }};
     this->worker_server = std::make_unique<net::async_http_server>(
         loop, this->values.control, limits,
         [this](const net::server_request& request, const net::async_http_server::responder& respond)
-        { this->handle_worker_request(request, respond); });
+        { this->handle_worker_request(request, respond); },
+        context);
     if (!this->values.metrics.empty())
     {
         this->metrics_server = std::make_unique<net::async_http_server>(
@@ -57,15 +67,19 @@
             {
                 net::server_response response;
                 response.content_type = "text/plain";
+                this->metrics.set("buffered_bytes", this->buffers->held());
                 response.body = this->metrics.to_text();
                 respond(response);
-            });
+            },
+            context);
     }
     net::transport_settings transport_options;
     transport_options.listen_address = this->values.listen;
     transport_options.advertised_address = this->values.listen;
     transport_options.incarnation = this->incarnation;
     transport_options.enable_keepalive = true;
+    transport_options.receive_high_water_mark = max_waiting_per_peer;
+    transport_options.max_received_bytes = max_agent_message_bytes;
     this->transport = std::make_unique<net::transport>(
         transport_options,
         [this](wire::envelope message)
--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -16,6 +16,7 @@
 #include "ports/worker_control.hpp"
 #include "site/leader.hpp"
 #include "site/message_inbox.hpp"
+#include "site/refusal_log.hpp"
 #include "site/settings.hpp"
 #include "support/metrics.hpp"
 #include "wire/wire.pb.h"
@@ -94,6 +95,9 @@
     std::unique_ptr<ports::table_service> store;
     std::unique_ptr<ports::worker_control> worker;
     support::metrics metrics;
+    /// Limits the buffers of all connections of this process.
+    std::shared_ptr<net::buffer_budget> buffers;
+    refusal_log refusals;
 
     batch::worker_registration registration;
     /// The registered worker, with what the agent itself knows of it.
--- a/src/site/agent_worker.cpp
+++ b/src/site/agent_worker.cpp
@@ -46,8 +46,8 @@
     {
     case platform::agent_request::announce:
     {
-        const auto announcement =
-            platform::parse_announcement(request.path_segments.back(), request.body);
+        const auto announcement = platform::parse_announcement(
+            request.path_segments.back(), request.body, this->values.max_json_values);
         if (announcement.ok())
         {
             this->on_announcement(*announcement);
--- a/src/site/daemon.cpp
+++ b/src/site/daemon.cpp
@@ -11,7 +11,9 @@
 #include <array>
 #include <csignal>
 #include <exception>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -38,6 +40,17 @@
     return signal_set;
 }
 
+/// Returns large freed blocks to the system one by one. By default the allocator stops doing so
+/// once large blocks have been freed, and keeps the holes that the bodies of many clients leave.
+void limit_kept_memory(const std::string& role)
+{
+    // An entry's large blocks are buffers of clients. A leader also builds lists of this size in
+    // each pass, for which a call to the system would cost more than the memory is worth.
+    constexpr int entry_threshold_bytes = 64 << 10;
+    constexpr int agent_threshold_bytes = 1 << 20;
+    ::mallopt(M_MMAP_THRESHOLD, role == "entry" ? entry_threshold_bytes : agent_threshold_bytes);
+}
+
 /// Delivers signals on the event loop's thread.
 class signal_watch
 {
@@ -107,6 +120,10 @@
         return parsed.exit_code;
     }
     const settings& values = parsed.values;
+    limit_kept_memory(values.role);
+    // The library writes a line to standard error for each malformed message, without a limit; the
+    // transport counts them.
+    google::protobuf::SetLogHandler(nullptr);
     // Threads inherit the signal mask: blocking before any thread starts ensures that only the
     // signal descriptor receives the signals.
     const sigset_t signal_set = block_signals();
--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -33,6 +33,8 @@
 // The load balancer stops sending new connections after two failed checks, one second apart.
 constexpr core::milliseconds balancer_removal_time{2300};
 constexpr core::milliseconds response_flush_time{400};
+// Paths of callers may be as long as a header, and many lines may wait to be written.
+constexpr std::size_t max_logged_path_bytes = 256;
 
 std::string_view to_text(batch::rejection_reason reason)
 {
@@ -48,6 +50,7 @@
 entry::entry(net::event_loop& loop, settings values)
     : loop(loop), values(std::move(values)),
       store(std::make_unique<platform::table_adapter>(loop, this->values.store)),
+      buffers(make_buffer_budget(this->values)), refusals(loop, this->metrics, this->buffers),
       random(std::random_device{}())
 {
     this->config_rows = std::make_unique<mirrored_table>(
@@ -58,14 +61,16 @@
         loop, *this->store, mirror_settings{job_table, site_partition, job_wait},
         [this](const ports::row& row) { this->jobs.apply(row); },
         [this] { this->on_rows_confirmed(); });
-    net::async_server_limits limits;
-    limits.max_connections = this->values.max_connections;
+    const net::server_context context{this->buffers,
+                                      [this](net::refusal reason) { this->refusals.note(reason); }};
     this->client_server = std::make_unique<net::async_http_server>(
-        loop, this->values.front, limits,
+        loop, this->values.front, this->client_limits(),
         [this](const net::server_request& request, const responder& respond)
-        { this->handle_request(request, respond); });
+        { this->handle_request(request, respond); },
+        context);
     net::async_server_limits internal_limits;
     internal_limits.max_connections = 64;
+    internal_limits.max_header_fields = this->values.max_header_fields;
     this->readiness = std::make_unique<net::async_http_server>(
         loop, this->values.ready, internal_limits,
         [this](const net::server_request& request, const responder& respond)
@@ -74,7 +79,8 @@
             const bool known = platform::is_readiness_check(request);
             response.status = !known ? 404 : this->is_ready() ? 200 : 503;
             respond(response);
-        });
+        },
+        context);
     if (!this->values.metrics.empty())
     {
         this->metrics_server = std::make_unique<net::async_http_server>(
@@ -83,9 +89,11 @@
             {
                 net::server_response response;
                 response.content_type = "text/plain";
+                this->metrics.set("buffered_bytes", this->buffers->held());
                 response.body = this->metrics.to_text();
                 respond(response);
-            });
+            },
+            context);
     }
     this->loop.run_after(tick_interval, [this] { this->tick(); });
 }
@@ -130,19 +138,29 @@
     this->loop.run_after(drain_check_interval, [this] { this->check_drained(); });
 }
 
+net::async_server_limits entry::client_limits() const
+{
+    net::async_server_limits limits;
+    limits.max_connections = max_client_connections(this->values);
+    limits.max_connections_per_address = this->values.max_connections_per_address;
+    limits.max_header_fields = this->values.max_header_fields;
+    if (this->config.has_value())
+    {
+        limits.max_header_bytes = this->config->limits.max_header_bytes;
+        limits.max_body_bytes = this->config->limits.max_body_bytes;
+        limits.request_timeout = this->config->limits.header_timeout;
+        limits.idle_timeout = this->config->limits.idle_timeout;
+    }
+    return limits;
+}
+
 void entry::on_config_row(const ports::row& row)
 {
     if (!apply_config_row(row, "entry", this->config))
     {
         return;
     }
-    net::async_server_limits limits;
-    limits.max_connections = this->values.max_connections;
-    limits.max_header_bytes = this->config->limits.max_header_bytes;
-    limits.max_body_bytes = this->config->limits.max_body_bytes;
-    limits.request_timeout = this->config->limits.header_timeout;
-    limits.idle_timeout = this->config->limits.idle_timeout;
-    this->client_server->set_limits(limits);
+    this->client_server->set_limits(this->client_limits());
     this->metrics.increment("config_versions", "applied");
 }
 
@@ -236,7 +254,7 @@
     {
         events::write("call_refused",
                       {{"method", request.method},
-                       {"path", call.path},
+                       {"path", call.path.substr(0, max_logged_path_bytes)},
                        {"reason", to_text(resolved.rejection)},
                        {"config_version", this->config.has_value() ? this->config->version : 0},
                        {"config_age_ms", this->config_age().count()}});
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -7,6 +7,7 @@
 #include "ports/table_service.hpp"
 #include "site/job_view.hpp"
 #include "site/mirrored_table.hpp"
+#include "site/refusal_log.hpp"
 #include "site/settings.hpp"
 #include "support/metrics.hpp"
 
@@ -39,6 +40,7 @@
     struct cancellation;
     using responder = net::async_http_server::responder;
 
+    [[nodiscard]] net::async_server_limits client_limits() const;
     void on_config_row(const ports::row& row);
     void on_rows_confirmed();
     void handle_request(const net::server_request& request, const responder& respond);
@@ -80,6 +82,9 @@
     std::optional<batch::site_config> config;
     job_view jobs;
     support::metrics metrics;
+    /// Limits the buffers of all connections of this process.
+    std::shared_ptr<net::buffer_budget> buffers;
+    refusal_log refusals;
     std::minstd_rand random;
     bool draining = false;
     bool was_ready = false;
--- a/src/site/entry_calls.cpp
+++ b/src/site/entry_calls.cpp
@@ -56,7 +56,7 @@
 void entry::submit(const net::server_request& request, const batch::resolved_request& call,
                    const std::string& key, const responder& respond)
 {
-    auto job = platform::parse_job(request.body);
+    auto job = platform::parse_job(request.body, this->values.max_json_values);
     if (!job.ok())
     {
         events::write("job_refused", {{"job", call.job.str()},
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -55,7 +55,7 @@
     std::uint32_t max_connections_per_address = 0;
     /// Fields of a request header.
     std::uint32_t max_header_fields = 100;
-    /// Values of a JSON body.
+    /// Values of a JSON body; an object or array counts as 64.
     std::uint32_t max_json_values = 262'144;
     /// Agent: time within which a leader stops placing work in an evacuated availability zone; 0
     /// disables evacuations.
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -57,6 +57,8 @@
     event_kind{"job_shown", 50, "the end of a job was reported to the caller"},
     event_kind{"call_refused", 50,
                "a call that does not submit a job was rejected, with the reason"},
+    event_kind{"connections_refused", 20,
+               "requests refused and connections closed by the limits, once a second and reason"},
     event_kind{"job_known", 100, "the leader has loaded a job"},
     event_kind{"job_cancelled", 100, "the leader stops a job"},
     event_kind{"job_completed", 100, "all units of a job have succeeded"},
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -82,6 +82,7 @@
     mutable std::mutex mutex;
     std::map<series_key, series> histograms;
     std::map<counter_key, std::uint64_t> counters;
+    std::map<std::string, std::uint64_t, std::less<>> gauges;
 };
 
 metrics::metrics() : inner(std::make_unique<implementation>()) {}
@@ -108,6 +109,12 @@
     this->inner->counters[{std::string(name), std::string(kind)}] += amount;
 }
 
+void metrics::set(std::string_view name, std::uint64_t value)
+{
+    const std::lock_guard lock(this->inner->mutex);
+    this->inner->gauges[std::string(name)] = value;
+}
+
 std::string metrics::to_text() const
 {
     const std::lock_guard lock(this->inner->mutex);
@@ -121,6 +128,10 @@
         out << "chicorylift_" << key.name << "_total{kind=\"" << key.kind << "\"} " << total
             << '\n';
     }
+    for (const auto& [name, value] : this->inner->gauges)
+    {
+        out << "chicorylift_" << name << ' ' << value << '\n';
+    }
     return out.str();
 }
 
--- a/src/support/metrics.hpp
+++ b/src/support/metrics.hpp
@@ -26,6 +26,8 @@
                  core::milliseconds time);
     /// Increments the counter @p name with the label value @p kind.
     void increment(std::string_view name, std::string_view kind, std::uint64_t amount = 1);
+    /// Sets the gauge @p name.
+    void set(std::string_view name, std::uint64_t value);
 
     /// @return all metrics in the Prometheus text format.
     [[nodiscard]] std::string to_text() const;
