--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -181,7 +181,7 @@
 
 absl::Status validate_job(const job_spec& job)
 {
-    const absl::Status counted = validate_step_count(job.steps.size());
+    absl::Status counted = validate_step_count(job.steps.size());
     if (!counted.ok())
     {
         return counted;
