Test pipelined requests of a client that reads, and the limit per address

A connection that is not read again after its answers were taken, or an address limit that counts wrongly, would not show in the crowd's tests.

--- a/tests/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients_test.cpp
@@ -2,12 +2,17 @@
 #include "support/batch_site.hpp"
 #include "support/client_crowd.hpp"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <iostream>
 #include <random>
+#include <thread>
 #include <zmq.hpp>
 
 /// Process tests of clients that misbehave. They guard against a process that ends, hangs, or grows
@@ -304,4 +309,78 @@
     check_agent(site, 4);
 }
 
+/// @return how often an answer begins in what the connection delivers until it ends or is silent.
+int count_answers(Poco::Net::StreamSocket& connection)
+{
+    const std::string mark = "HTTP/1.1 200";
+    connection.setReceiveTimeout(Poco::Timespan(5, 0));
+    std::string text;
+    std::array<char, 4096> buffer{};
+    try
+    {
+        for (int received = 1; received > 0;)
+        {
+            received = connection.receiveBytes(buffer.data(), buffer.size());
+            text.append(buffer.data(), static_cast<std::size_t>(std::max(0, received)));
+        }
+    }
+    catch (const Poco::TimeoutException&)
+    {
+        text += "still open";
+    }
+    int count = 0;
+    for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
+// Guards against a connection that is not read again after its answers have been taken.
+TEST_CASE("every pipelined request is answered once its client reads")
+{
+    constexpr int requests = 3000;
+    batch_site site(1, 1);
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    Poco::Net::StreamSocket connection;
+    connection.connect(Poco::Net::SocketAddress(site.front(0)));
+    const std::string common = " /q/ HTTP/1.1\r\nHost: jobs.example\r\nX-Api-Key: key-a\r\n";
+    std::string text;
+    for (int number = 1; number < requests; ++number)
+    {
+        text += "GET" + common + "\r\n";
+    }
+    text += "GET" + common + "Connection: close\r\n\r\n";
+    std::thread sender([&] { connection.sendBytes(text.data(), static_cast<int>(text.size())); });
+    std::this_thread::sleep_for(milliseconds{500});
+    const int answers = count_answers(connection);
+    sender.join();
+    CHECK(answers == requests);
+}
+
+TEST_CASE("connections of one address are limited only if the setting says so")
+{
+    constexpr int limit = 3;
+    batch_site site(1, 1, {}, false, {"--max-connections-per-address", std::to_string(limit)});
+    site.configure(1, {"key-a"});
+    REQUIRE(is_serving(site));
+    std::vector<Poco::Net::StreamSocket> held;
+    for (int number = 0; number < limit; ++number)
+    {
+        held.emplace_back(Poco::Net::SocketAddress(site.front(0)));
+    }
+    CHECK(batch_site::wait_for([&] { return site.call(0, "GET", "").status == 0; }, seconds{5}));
+    CHECK(status_of(site.ready(0), "/v1/ready") == 200);
+    held.clear();
+    CHECK(batch_site::wait_for([&] { return site.call(0, "GET", "").status == 200; }));
+    CHECK(batch_site::wait_for(
+        [&]
+        {
+            return site.entry(0).output().find("\"reason\":\"max connections of address\"") !=
+                   std::string::npos;
+        },
+        seconds{5}));
+}
+
 } // namespace
