--- a/tests/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients_test.cpp
@@ -366,6 +366,7 @@
     site.configure(1, {"key-a"});
     REQUIRE(is_serving(site));
     std::vector<Poco::Net::StreamSocket> held;
+    held.reserve(limit);
     for (int number = 0; number < limit; ++number)
     {
         held.emplace_back(Poco::Net::SocketAddress(site.front(0)));
