--- a/src/net/async_http_server.cpp
+++ b/src/net/async_http_server.cpp
@@ -1,18 +1,9 @@
-#include "net/async_http_server.hpp"
-
-#include "net/send_some.hpp"
+#include "net/async_http_server_impl.hpp"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <list>
-#include <sstream>
-#include <sys/epoll.h>
+#include <cerrno>
+#include <limits>
 
 namespace chicorylift::net
 {
@@ -23,561 +14,275 @@
 constexpr core::milliseconds sweep_interval{500};
 constexpr int listen_backlog = 1024;
 constexpr int max_accepts_per_event = 64;
-constexpr std::size_t read_chunk_bytes = 16384;
-// Bytes that a client may still send after its request was rejected; more closes the connection.
-constexpr std::size_t max_discarded_bytes = 4U << 20U;
 constexpr core::milliseconds linger_timeout{1500};
-// A connection whose unsent output exceeds this is closed: the peer does not read.
-constexpr std::size_t max_unsent_bytes = 1U << 20U;
-
-constexpr int status_bad_request = 400;
+// Cost of an open connection without buffers: its state here, its socket and its watch.
+constexpr std::size_t connection_base_bytes = 1536;
+// Without free descriptors, accepting fails at once; this keeps the loop from spinning.
+constexpr core::milliseconds accept_pause{100};
 constexpr int status_timeout = 408;
-constexpr int status_length_required = 411;
-constexpr int status_too_large = 413;
-constexpr int status_header_too_large = 431;
 
-int descriptor_of(const Poco::Net::Socket& socket)
-{
-    return static_cast<int>(socket.impl()->sockfd());
-}
+} // namespace
 
-std::vector<std::string> split_path(std::string_view target)
+async_http_server::implementation::implementation(event_loop& loop, const std::string& address,
+                                                  async_server_limits limits, handler on_request,
+                                                  server_context context)
+    : loop(loop), limits(limits), on_request(std::move(on_request)), context(std::move(context))
 {
-    const std::string_view path = target.substr(0, target.find('?'));
-    std::vector<std::string> parts;
-    std::size_t begin = 0;
-    while (begin < path.size())
+    if (this->context.budget == nullptr)
     {
-        const std::size_t end = std::min(path.find('/', begin), path.size());
-        if (end > begin)
-        {
-            parts.emplace_back(path.substr(begin, end - begin));
-        }
-        begin = end + 1;
+        this->context.budget =
+            std::make_shared<buffer_budget>(std::numeric_limits<std::size_t>::max());
     }
-    return parts;
+    this->listener.bind(Poco::Net::SocketAddress(address), true);
+    this->listener.listen(listen_backlog);
+    this->listener.setBlocking(false);
 }
 
-std::string serialize_response(const server_response& response, bool keep_alive)
+void async_http_server::implementation::start()
 {
-    const auto status = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status);
-    std::string text = "HTTP/1.1 " + std::to_string(response.status) + " " +
-                       Poco::Net::HTTPResponse::getReasonForStatus(status) + "\r\n";
-    if (!response.body.empty())
-    {
-        text += "Content-Type: " + response.content_type + "\r\n";
-    }
-    for (const http_header& header : response.headers)
-    {
-        text += header.name + ": " + header.value + "\r\n";
-    }
-    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    text += keep_alive ? "\r\n" : "Connection: close\r\n\r\n";
-    return text + response.body;
-}
-
-server_response plain_error(int status, const std::string& text)
-{
-    server_response response;
-    response.status = status;
-    response.content_type = "text/plain";
-    response.body = text + "\n";
-    return response;
+    const std::weak_ptr<implementation> self = this->shared_from_this();
+    this->loop.watch(descriptor_of(this->listener), EPOLLIN,
+                     [self](std::uint32_t)
+                     {
+                         if (const auto alive = self.lock())
+                         {
+                             alive->accept_some();
+                         }
+                     });
+    this->listening = true;
+    this->schedule_sweep();
 }
 
-struct connection
-{
-    explicit connection(const Poco::Net::StreamSocket& accepted) : socket(accepted) {}
-
-    Poco::Net::StreamSocket socket;
-    std::string input;
-    std::string output;
-    server_request request;
-    std::size_t body_length{};
-    bool has_header = false;
-    bool awaiting_response = false;
-    bool close_after_response = false;
-    bool peer_finished = false;
-    /// The request was rejected. Further input is discarded until the peer closes: closing a
-    /// socket with unread input resets the connection, and the response would be lost.
-    bool lingering = false;
-    std::size_t discarded_bytes{};
-    /// When the current request began to arrive, or the connection became idle.
-    core::instant since{};
-};
-
-} // namespace
-
-struct async_http_server::implementation
-    : public std::enable_shared_from_this<async_http_server::implementation>
+void async_http_server::implementation::close_all()
 {
-    using connection_list = std::list<connection>;
-    using handle = connection_list::iterator;
-
-    implementation(event_loop& loop, const std::string& address, async_server_limits limits,
-                   handler on_request)
-        : loop(loop), limits(limits), on_request(std::move(on_request))
+    if (this->listening)
     {
-        this->listener.bind(Poco::Net::SocketAddress(address), true);
-        this->listener.listen(listen_backlog);
-        this->listener.setBlocking(false);
+        this->loop.unwatch(descriptor_of(this->listener));
+        this->listener.close();
+        this->listening = false;
     }
-
-    void start()
+    while (!this->open.empty())
     {
-        const std::weak_ptr<implementation> self = this->shared_from_this();
-        this->loop.watch(descriptor_of(this->listener), EPOLLIN,
-                         [self](std::uint32_t)
-                         {
-                             if (const auto alive = self.lock())
-                             {
-                                 alive->accept_some();
-                             }
-                         });
-        this->listening = true;
-        this->schedule_sweep();
-    }
-
-    void close_all()
-    {
-        this->stop_listening();
-        while (!this->open.empty())
-        {
-            this->close(this->open.begin());
-        }
-        this->loop.cancel(this->sweep_timer);
-    }
-
-    void stop_listening()
-    {
-        if (this->listening)
-        {
-            this->loop.unwatch(descriptor_of(this->listener));
-            this->listener.close();
-            this->listening = false;
-        }
+        this->close(this->open.begin());
     }
+    this->loop.cancel(this->sweep_timer);
+}
 
-    void accept_some()
+void async_http_server::implementation::accept_some()
+{
+    this->closed.clear();
+    for (int count = 0; count < max_accepts_per_event && this->listening; ++count)
     {
-        for (int count = 0; count < max_accepts_per_event && this->listening; ++count)
+        try
         {
-            try
+            if (!this->listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
             {
-                if (!this->listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
-                {
-                    return;
-                }
-                this->add_connection(this->listener.acceptConnection());
+                return;
             }
-            catch (const Poco::Exception&)
+            this->add_connection(this->listener.acceptConnection());
+        }
+        catch (const Poco::Exception& fault)
+        {
+            // Either the peer closed before it was accepted, or there are no descriptors left.
+            if (fault.code() == EMFILE || fault.code() == ENFILE)
             {
-                // The peer closed before it was accepted, or the process is out of descriptors.
-                return;
+                static_cast<void>(this->close_longest_idle(refusal::descriptors));
+                this->pause_accepting();
             }
+            return;
         }
     }
+}
 
-    void add_connection(const Poco::Net::StreamSocket& accepted)
-    {
-        if (this->open.size() >= this->limits.max_connections)
-        {
-            this->close_longest_idle();
-        }
-        Poco::Net::StreamSocket socket(accepted);
-        socket.setBlocking(false);
-        socket.setNoDelay(true);
-        this->open.emplace_back(socket);
-        const handle here = std::prev(this->open.end());
-        here->since = this->loop.now();
-        const std::weak_ptr<implementation> self = this->shared_from_this();
-        this->loop.watch(descriptor_of(here->socket), EPOLLIN | EPOLLRDHUP,
-                         [self, here](std::uint32_t events)
+void async_http_server::implementation::pause_accepting()
+{
+    this->loop.update_watch(descriptor_of(this->listener), 0);
+    const std::weak_ptr<implementation> self = this->shared_from_this();
+    this->loop.run_after(accept_pause,
+                         [self]
                          {
-                             if (const auto alive = self.lock())
+                             const auto alive = self.lock();
+                             if (alive != nullptr && alive->listening)
                              {
-                                 alive->on_ready(here, events);
+                                 alive->loop.update_watch(descriptor_of(alive->listener), EPOLLIN);
                              }
                          });
-    }
+}
 
-    /// Closes the connection that has been idle for longest, to make room for a new one.
-    void close_longest_idle()
+void async_http_server::implementation::add_connection(const Poco::Net::StreamSocket& accepted)
+{
+    Poco::Net::StreamSocket socket(accepted);
+    if (this->open.size() >= this->limits.max_connections &&
+        !this->close_longest_idle(refusal::max_connections))
     {
-        handle oldest = this->open.end();
-        for (auto each = this->open.begin(); each != this->open.end(); ++each)
-        {
-            const bool idle = !each->awaiting_response && each->output.empty();
-            if (idle && (oldest == this->open.end() || each->since < oldest->since))
-            {
-                oldest = each;
-            }
-        }
-        if (oldest != this->open.end())
-        {
-            this->close(oldest);
-        }
+        this->note(refusal::max_connections);
+        return;
     }
-
-    void on_ready(handle here, std::uint32_t events)
+    std::string peer;
+    if (this->limits.max_connections_per_address > 0)
     {
-        if ((events & EPOLLOUT) != 0 && !this->flush(here))
+        peer = socket.peerAddress().host().toString();
+        const auto known = this->peers.find(peer);
+        if (known != this->peers.end() && known->second >= this->limits.max_connections_per_address)
         {
+            this->note(refusal::max_connections_of_address);
             return;
         }
-        if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
-        {
-            this->read(here);
-        }
     }
-
-    void read(handle here)
+    socket.setBlocking(false);
+    socket.setNoDelay(true);
+    this->open.emplace_back(socket);
+    const handle here = std::prev(this->open.end());
+    here->since = this->loop.now();
+    if (!this->context.budget->open(
+            here->account, connection_base_bytes,
+            [this, here] { this->close(here, refusal::memory); }, this->loop.now()))
     {
-        std::array<char, read_chunk_bytes> chunk{};
-        int count = 0;
-        try
-        {
-            count = here->socket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
-        }
-        catch (const Poco::Exception&)
-        {
-            this->close(here);
-            return;
-        }
-        if (count < 0)
-        {
-            return;
-        }
-        if (count == 0)
-        {
-            here->peer_finished = true;
-            if (!here->awaiting_response && here->output.empty())
-            {
-                this->close(here);
-            }
-            else
-            {
-                this->loop.update_watch(descriptor_of(here->socket),
-                                        here->output.empty() ? 0U : std::uint32_t{EPOLLOUT});
-            }
-            return;
-        }
-        if (here->lingering)
-        {
-            here->discarded_bytes += static_cast<std::size_t>(count);
-            if (here->discarded_bytes > max_discarded_bytes)
-            {
-                this->close(here);
-            }
-            return;
-        }
-        if (here->input.empty() && !here->has_header && !here->awaiting_response)
-        {
-            here->since = this->loop.now();
-        }
-        here->input.append(chunk.data(), static_cast<std::size_t>(count));
-        if (here->awaiting_response && here->input.size() > this->limits.max_header_bytes)
-        {
-            // Stops reading: pipelined input stays in the kernel until the response is sent.
-            this->loop.update_watch(descriptor_of(here->socket), EPOLLRDHUP);
-            return;
-        }
-        this->advance(here);
+        this->open.erase(here);
+        this->note(refusal::memory);
+        return;
     }
-
-    /// Parses the buffered input and dispatches the request once it is complete.
-    void advance(handle here)
+    here->peer = std::move(peer);
+    if (!here->peer.empty())
     {
-        if (here->awaiting_response)
-        {
-            return;
-        }
-        if (!here->has_header && !this->read_header(here))
-        {
-            return;
-        }
-        if (here->input.size() < here->body_length)
-        {
-            return;
-        }
-        here->request.body = here->input.substr(0, here->body_length);
-        here->input.erase(0, here->body_length);
-        here->has_header = false;
-        here->awaiting_response = true;
-        this->dispatch(here);
+        ++this->peers[here->peer];
     }
+    here->id = ++this->last_id;
+    this->by_id[here->id] = here;
+    const std::weak_ptr<implementation> self = this->shared_from_this();
+    this->loop.watch(descriptor_of(here->socket), here->watched_events,
+                     [self, here](std::uint32_t events)
+                     {
+                         if (const auto alive = self.lock())
+                         {
+                             alive->on_ready(here, events);
+                         }
+                     });
+}
 
-    /// @return whether the header is complete and valid; an invalid one is rejected.
-    bool read_header(handle here)
+bool async_http_server::implementation::close_longest_idle(refusal reason)
+{
+    const auto oldest =
+        std::find_if(this->open.begin(), this->open.end(),
+                     [](const server_connection& each) { return !each.awaiting_response; });
+    if (oldest == this->open.end())
     {
-        // Skips empty lines before the request line (RFC 9112, section 2.2).
-        here->input.erase(0, std::min(here->input.find_first_not_of("\r\n"), here->input.size()));
-        const std::size_t end = here->input.find("\r\n\r\n");
-        if (std::min(end, here->input.size()) > this->limits.max_header_bytes)
-        {
-            this->reject(here, status_header_too_large, "the request header is too large");
-            return false;
-        }
-        if (end == std::string::npos)
-        {
-            return false;
-        }
-        Poco::Net::HTTPRequest parsed;
-        try
-        {
-            std::istringstream text(here->input.substr(0, end + 4));
-            parsed.read(text);
-        }
-        catch (const Poco::Exception&)
-        {
-            this->reject(here, status_bad_request, "the request header is malformed");
-            return false;
-        }
-        here->input.erase(0, end + 4);
-        return this->apply_header(here, parsed);
+        return false;
     }
+    this->close(oldest, reason);
+    return true;
+}
 
-    bool apply_header(handle here, const Poco::Net::HTTPRequest& parsed)
-    {
-        here->request = {};
-        here->request.method = parsed.getMethod();
-        here->request.target = parsed.getURI();
-        here->request.path_segments = split_path(parsed.getURI());
-        for (const auto& header : parsed)
-        {
-            here->request.headers.push_back({header.first, header.second});
-        }
-        here->close_after_response = !parsed.getKeepAlive();
-        here->has_header = true;
-        here->body_length = 0;
-        if (parsed.getChunkedTransferEncoding())
-        {
-            this->reject(here, status_length_required, "the request needs a Content-Length");
-            return false;
-        }
-        if (parsed.has("Content-Length"))
-        {
-            const std::string& text = parsed.get("Content-Length");
-            const char* const last = text.data() + text.size();
-            const auto number = std::from_chars(text.data(), last, here->body_length);
-            if (number.ec != std::errc{} || number.ptr != last)
-            {
-                this->reject(here, status_bad_request, "Content-Length is not a number");
-                return false;
-            }
-        }
-        if (here->body_length > this->limits.max_body_bytes)
-        {
-            this->reject(here, status_too_large,
-                         "the body exceeds " + std::to_string(this->limits.max_body_bytes) +
-                             " bytes");
-            return false;
-        }
-        if (parsed.has("Expect"))
-        {
-            here->output += "HTTP/1.1 100 Continue\r\n\r\n";
-            return this->flush(here);
-        }
-        return true;
-    }
+void async_http_server::implementation::restart_clock(handle here)
+{
+    here->since = this->loop.now();
+    this->open.splice(this->open.end(), this->open, here);
+}
 
-    void dispatch(handle here)
+void async_http_server::implementation::note(refusal reason) const
+{
+    if (this->context.on_refusal)
     {
-        ++this->pending;
-        const std::weak_ptr<implementation> self = this->shared_from_this();
-        const auto response_id = ++this->last_response_id;
-        this->awaiting[response_id] = here;
-        this->response_ids[&*here] = response_id;
-        const auto respond = [self, response_id](const server_response& response)
-        {
-            if (const auto alive = self.lock())
-            {
-                alive->on_response(response_id, response);
-            }
-        };
-        this->on_request(std::move(here->request), respond);
+        this->context.on_refusal(reason);
     }
+}
 
-    void on_response(std::uint64_t response_id, const server_response& response)
+void async_http_server::implementation::close(handle here, refusal reason)
+{
+    if (!here->closed)
     {
-        const auto found = this->awaiting.find(response_id);
-        if (found == this->awaiting.end())
-        {
-            return;
-        }
-        const handle here = found->second;
-        this->awaiting.erase(found);
-        this->response_ids.erase(&*here);
-        --this->pending;
-        here->awaiting_response = false;
-        here->since = this->loop.now();
-        here->close_after_response =
-            here->close_after_response || this->draining || response.close_connection;
-        here->output += serialize_response(response, !here->close_after_response);
-        if (!this->flush(here) || here->close_after_response)
-        {
-            return;
-        }
-        if (!here->input.empty())
-        {
-            // Deferred to a timer: advance() may be on the call stack.
-            const std::weak_ptr<implementation> self = this->shared_from_this();
-            this->loop.run_after(core::milliseconds{0},
-                                 [self, here, descriptor = descriptor_of(here->socket)]
-                                 {
-                                     const auto alive = self.lock();
-                                     if (alive != nullptr && alive->is_open(here, descriptor))
-                                     {
-                                         alive->advance(here);
-                                     }
-                                 });
-        }
+        this->note(reason);
+        this->close(here);
     }
+}
 
-    bool is_open(handle here, int descriptor)
+void async_http_server::implementation::close(handle here)
+{
+    if (here->closed)
     {
-        for (auto each = this->open.begin(); each != this->open.end(); ++each)
-        {
-            if (each == here)
-            {
-                return descriptor_of(each->socket) == descriptor;
-            }
-        }
-        return false;
+        return;
     }
-
-    void reject(handle here, int status, const std::string& text)
+    here->closed = true;
+    this->pending -= here->awaiting_response ? 1 : 0;
+    this->by_id.erase(here->id);
+    this->context.budget->remove(here->account);
+    const auto peer = this->peers.find(here->peer);
+    if (peer != this->peers.end() && --peer->second == 0)
     {
-        here->close_after_response = true;
-        here->lingering = true;
-        here->has_header = false;
-        here->since = this->loop.now();
-        here->input.clear();
-        here->output += serialize_response(plain_error(status, text), false);
-        static_cast<void>(this->flush(here));
+        this->peers.erase(peer);
     }
+    this->loop.unwatch(descriptor_of(here->socket));
+    here->socket.close();
+    release(here->input);
+    release(here->output);
+    this->closed.splice(this->closed.end(), this->open, here);
+}
+
+void async_http_server::implementation::schedule_sweep()
+{
+    const std::weak_ptr<implementation> self = this->shared_from_this();
+    this->sweep_timer = this->loop.run_after(sweep_interval,
+                                             [self]
+                                             {
+                                                 if (const auto alive = self.lock())
+                                                 {
+                                                     alive->sweep();
+                                                 }
+                                             });
+}
+
+bool async_http_server::implementation::has_timed_out(const server_connection& each,
+                                                      core::instant now) const
+{
+    const core::milliseconds allowed = each.lingering ? linger_timeout
+                                       : !each.output.empty() || each.input.empty()
+                                           ? this->limits.idle_timeout
+                                           : this->limits.request_timeout;
+    const bool drained = this->draining && each.input.empty() && each.output.empty();
+    return !each.awaiting_response && (now - each.since >= allowed || drained);
+}
 
-    /// @return whether the connection is still open.
-    bool flush(handle here)
+void async_http_server::implementation::sweep()
+{
+    this->closed.clear();
+    const core::instant now = this->loop.now();
+    std::vector<handle> timed_out;
+    for (auto each = this->open.begin(); each != this->open.end(); ++each)
     {
-        try
-        {
-            send_some(here->socket, here->output);
-        }
-        catch (const Poco::Exception&)
-        {
-            this->close(here);
-            return false;
-        }
-        if (here->output.empty() && here->lingering && !here->peer_finished)
-        {
-            return this->begin_lingering(here);
-        }
-        const bool finished = here->output.empty() && !here->awaiting_response &&
-                              (here->close_after_response || here->peer_finished);
-        if (finished || here->output.size() > max_unsent_bytes)
+        if (this->has_timed_out(*each, now))
         {
-            this->close(here);
-            return false;
+            timed_out.push_back(each);
         }
-        const std::uint32_t reading = here->peer_finished ? 0U : EPOLLIN | EPOLLRDHUP;
-        this->loop.update_watch(descriptor_of(here->socket),
-                                reading | (here->output.empty() ? 0U : std::uint32_t{EPOLLOUT}));
-        return true;
     }
-
-    /// @return whether the connection is still open.
-    bool begin_lingering(handle here)
+    for (const handle here : timed_out)
     {
-        try
+        // Rejecting a request needs room for the response, which may close another connection.
+        if (here->closed)
         {
-            here->socket.shutdownSend();
+            continue;
         }
-        catch (const Poco::Exception&)
+        if (!here->input.empty() && here->output.empty())
         {
-            this->close(here);
-            return false;
+            this->reject(here, status_timeout, "the request did not arrive in time",
+                         refusal::timeout);
         }
-        this->loop.update_watch(descriptor_of(here->socket), EPOLLIN);
-        return true;
-    }
-
-    void close(handle here)
-    {
-        const auto found = this->response_ids.find(&*here);
-        if (found != this->response_ids.end())
+        else if (!here->output.empty())
         {
-            this->awaiting.erase(found->second);
-            this->response_ids.erase(found);
-            --this->pending;
+            this->close(here, refusal::answer_not_read);
         }
-        this->loop.unwatch(descriptor_of(here->socket));
-        here->socket.close();
-        this->open.erase(here);
-    }
-
-    void schedule_sweep()
-    {
-        const std::weak_ptr<implementation> self = this->shared_from_this();
-        this->sweep_timer = this->loop.run_after(sweep_interval,
-                                                 [self]
-                                                 {
-                                                     if (const auto alive = self.lock())
-                                                     {
-                                                         alive->sweep();
-                                                     }
-                                                 });
-    }
-
-    /// Closes connections that exceeded their idle or linger time; rejects requests that exceeded
-    /// the request timeout.
-    void sweep()
-    {
-        const core::instant now = this->loop.now();
-        for (auto each = this->open.begin(); each != this->open.end();)
+        else
         {
-            const handle here = each++;
-            if (here->awaiting_response)
-            {
-                continue;
-            }
-            const bool arriving = here->has_header || !here->input.empty();
-            const core::milliseconds allowed = here->lingering ? linger_timeout
-                                               : arriving      ? this->limits.request_timeout
-                                                               : this->limits.idle_timeout;
-            if (now - here->since < allowed && !(this->draining && !arriving))
-            {
-                continue;
-            }
-            if (arriving && here->output.empty())
-            {
-                this->reject(here, status_timeout, "the request did not arrive in time");
-            }
-            else
-            {
-                this->close(here);
-            }
+            this->close(here);
         }
-        this->schedule_sweep();
     }
-
-    event_loop& loop;
-    async_server_limits limits;
-    handler on_request;
-    Poco::Net::ServerSocket listener;
-    bool listening = false;
-    bool draining = false;
-    connection_list open;
-    std::size_t pending{};
-    std::uint64_t last_response_id{};
-    std::unordered_map<std::uint64_t, handle> awaiting;
-    std::unordered_map<const connection*, std::uint64_t> response_ids;
-    event_loop::timer_id sweep_timer{};
-};
+    this->schedule_sweep();
+}
 
 async_http_server::async_http_server(event_loop& loop, const std::string& address,
-                                     async_server_limits limits, handler on_request)
-    : inner(std::make_shared<implementation>(loop, address, limits, std::move(on_request)))
+                                     async_server_limits limits, handler on_request,
+                                     server_context context)
+    : inner(std::make_shared<implementation>(loop, address, limits, std::move(on_request),
+                                             std::move(context)))
 {
     this->inner->start();
 }
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -141,6 +141,11 @@
                   { return each.first.kind == kind && each.first.name.starts_with(prefix); });
 }
 
+void metrics::set(std::string_view name, std::int64_t value)
+{
+    this->set(name, {}, value);
+}
+
 std::string metrics::to_text() const
 {
     const std::lock_guard lock(this->inner->mutex);
@@ -156,8 +161,12 @@
     }
     for (const auto& [key, value] : this->inner->gauges)
     {
-        out << "chicorylift_" << key.name << "{kind=\"" << escape_label(key.kind) << "\"} " << value
-            << '\n';
+        out << "chicorylift_" << key.name;
+        if (!key.kind.empty())
+        {
+            out << "{kind=\"" << escape_label(key.kind) << "\"}";
+        }
+        out << ' ' << value << '\n';
     }
     return out.str();
 }
--- a/src/support/metrics.hpp
+++ b/src/support/metrics.hpp
@@ -26,7 +26,8 @@
                  core::milliseconds time);
     /// Increments the counter @p name with the label value @p kind.
     void increment(std::string_view name, std::string_view kind, std::uint64_t amount = 1);
-
+    /// Sets the gauge @p name, which has no labels.
+    void set(std::string_view name, std::int64_t value);
     /// Sets the gauge @p name with the label value @p kind.
     void set(std::string_view name, std::string_view kind, std::int64_t value);
     /// Removes the gauges with the label value @p kind whose names begin with @p prefix.
--- a/tests/support/batch_site.hpp
+++ b/tests/support/batch_site.hpp
@@ -33,8 +33,10 @@
     /// @param relays_store each agent reaches the store through a relay of its own.
     /// @param zones the racks, of two workers each, are spread over this many availability zones,
     ///        named "z" if there is one, else "z0" and so on.
+    /// @param entry_flags further flags of every entry.
     batch_site(int entries, int agents, const std::vector<std::string>& agent_flags = {},
-               bool relays_store = false, int zones = 1);
+               bool relays_store = false, int zones = 1,
+               const std::vector<std::string>& entry_flags = {});
     ~batch_site();
     batch_site(const batch_site&) = delete;
     batch_site& operator=(const batch_site&) = delete;
@@ -63,6 +65,7 @@
     [[nodiscard]] std::string metrics(int entry) const;
     /// @return the zone of an agent and its worker.
     [[nodiscard]] std::string zone(int agent) const;
+    [[nodiscard]] std::string agent_metrics(int agent) const;
     /// @return where an agent takes messages of other agents.
     [[nodiscard]] std::string agent_address(int agent) const;
     /// @return where an agent takes its worker's announcements.
