--- a/tests/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients_test.cpp
@@ -99,7 +99,7 @@
 /// Plays a crowd at every target of an entry, and checks the guarantees after each.
 void check_entry_withstands(const crowd_plan& plan)
 {
-    batch_site site(1, 1, {}, false,
+    batch_site site(1, 1, {}, false, 1,
                     {"--memory-mb", machine_mb, "--max-descriptors", machine_descriptors});
     site.configure(1, {"key-a"});
     REQUIRE(is_serving(site));
