--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -327,19 +327,6 @@
     return placed.size();
 }
 
-core::instant site_scheduler::implementation::expected_end(const run_state& run,
-                                                           core::instant now) const
-{
-    const auto job = this->jobs.find(run.job);
-    if (job == this->jobs.end() || run.stopping)
-    {
-        return now;
-    }
-    const step_spec& step = job->second.spec.steps[to_index(run.step)];
-    return step.long_running ? core::instant::max()
-                             : now + this->expected_remaining(run, job->second, now);
-}
-
 void site_scheduler::implementation::reserve_for(const placement_group& group,
                                                  const resources_by_worker& available,
                                                  core::instant now)
--- a/src/batch/scheduler_run_times.cpp
+++ b/src/batch/scheduler_run_times.cpp
@@ -124,6 +124,19 @@
     return std::max(longest, min_remaining_time);
 }
 
+core::instant site_scheduler::implementation::expected_end(const run_state& run,
+                                                           core::instant now) const
+{
+    const auto job = this->jobs.find(run.job);
+    if (job == this->jobs.end() || run.stopping)
+    {
+        return now;
+    }
+    const step_spec& step = job->second.spec.steps[to_index(run.step)];
+    return step.long_running ? core::instant::max()
+                             : now + this->expected_remaining(run, job->second, now);
+}
+
 core::milliseconds site_scheduler::implementation::declared_remaining(const run_state& run,
                                                                       const step_spec& step,
                                                                       core::instant now)
