--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -64,7 +64,7 @@
         row.id = {site::job_table, site::site_partition, id + suffix};
         row.version = 1;
         row.value = input;
-        view.apply(row);
+        view.apply(row, core::instant{});
         static_cast<void>(site::parse_job(row));
     }
     wire::batch_progress progress;
