Log failed and slow calls of mirrored tables

An entry that stopped following the configuration logged nothing but config_stale: not which call failed, how many bytes had come, nor since when its copy was unconfirmed.

table_call_failed names table, call, time taken, bytes received and expected, what ended the call and how long the copy has been unconfirmed. table_call_slow gives the times to the first byte, to the last and for decoding. config_in_force gets the bytes and the time for parsing. The counters table_calls_failed, table_calls_slow and table_bytes are by table and call. No decision changes.

--- a/src/net/async_http_client.cpp
+++ b/src/net/async_http_client.cpp
@@ -13,6 +13,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <sstream>
 #include <sys/epoll.h>
 
@@ -44,6 +45,9 @@
     client_request request;
     async_http_client::response_callback on_outcome;
     event_loop::timer_id timer{};
+    core::instant started_at = core::boot_clock::now();
+    /// Unset until the response begins.
+    std::optional<core::instant> first_byte_at;
 };
 
 struct client_connection
@@ -61,6 +65,16 @@
     core::instant idle_since{};
 };
 
+/// @return how much of the current response has arrived, and after what time.
+std::string describe_extent(const client_connection& from)
+{
+    const core::milliseconds elapsed = core::boot_clock::now() - from.current->started_at;
+    std::string text = "; " + std::to_string(from.input.size());
+    text += from.has_header ? " of " + std::to_string(from.body_length) + " body bytes"
+                            : " bytes of the header";
+    return text + " arrived in " + std::to_string(elapsed.count()) + " ms";
+}
+
 } // namespace
 
 struct async_http_client::implementation
@@ -253,6 +267,10 @@
             this->fail(here, "connection closed before a complete response arrived");
             return;
         }
+        if (!here->current->first_byte_at.has_value())
+        {
+            here->current->first_byte_at = core::boot_clock::now();
+        }
         here->input.append(chunk.data(), static_cast<std::size_t>(count));
         if (!here->has_header && !this->read_header(here))
         {
@@ -317,11 +335,14 @@
     {
         const auto done = std::move(here->current);
         here->current = nullptr;
-        client_response response{here->status, here->input.substr(0, here->body_length)};
+        here->idle_since = core::boot_clock::now();
+        client_response response{here->status,
+                                 here->input.substr(0, here->body_length),
+                                 {done->first_byte_at.value_or(here->idle_since) - done->started_at,
+                                  here->idle_since - done->started_at}};
         const bool reusable = here->keep_alive && here->input.size() == here->body_length;
         here->input.clear();
         here->has_header = false;
-        here->idle_since = core::boot_clock::now();
         const std::string address = here->address;
         if (!reusable)
         {
@@ -353,11 +374,12 @@
         const auto lost = here->current;
         const bool connected = here->connected;
         const std::string address = here->address;
+        const std::string extent = lost == nullptr ? "" : describe_extent(*here);
         this->close(here);
         if (lost != nullptr)
         {
             this->finish(lost, make_error(connected ? error_kind::outcome_unknown : unconnected,
-                                          address + lost->request.path + ": " + why));
+                                          address + lost->request.path + ": " + why + extent));
         }
         this->assign_waiting(address);
     }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -32,11 +32,20 @@
     core::milliseconds response_timeout = std::chrono::seconds{2};
 };
 
+/// How a response arrived. Times count from when the request was handed to the client.
+struct response_arrival
+{
+    core::milliseconds first_byte{};
+    core::milliseconds complete{};
+};
+
 /// Complete response to a request.
 struct client_response
 {
     int status{};
     std::string body;
+    /// Set by async_http_client.
+    response_arrival arrival = {};
 };
 
 /// Largest accepted response body, in bytes.
--- a/src/ports/table_service.hpp
+++ b/src/ports/table_service.hpp
@@ -77,9 +77,20 @@
     std::string message;
 };
 
+/// Size and arrival of a response. Times count from when its call was made.
+struct page_transfer
+{
+    std::size_t body_bytes{};
+    core::milliseconds first_byte{};
+    core::milliseconds complete{};
+    /// Time that decoding the rows took after that.
+    core::milliseconds decoding{};
+};
+
 /// Rows of one response.
 struct row_page
 {
+    page_transfer transfer;
     std::vector<row> rows;
     /// Latest version of the service at the time of the response.
     revision version{};
--- a/src/site/config_row.cpp
+++ b/src/site/config_row.cpp
@@ -15,6 +15,7 @@
     {
         return false;
     }
+    const core::instant started_at = core::boot_clock::now();
     auto parsed = platform::parse_config(row.value);
     if (!parsed.ok())
     {
@@ -33,7 +34,9 @@
                    {"version", config->version},
                    {"row_version", row.version},
                    {"routes", static_cast<std::uint64_t>(config->routes.size())},
-                   {"keys", static_cast<std::uint64_t>(config->organisation_by_key.size())}});
+                   {"keys", static_cast<std::uint64_t>(config->organisation_by_key.size())},
+                   {"bytes", static_cast<std::uint64_t>(row.value.size())},
+                   {"parsing_ms", (core::boot_clock::now() - started_at).count()}});
     return true;
 }
 
--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -54,11 +54,13 @@
       random(std::random_device{}())
 {
     this->config_rows = std::make_unique<mirrored_table>(
-        loop, *this->store, mirror_settings{platform::config_table, "", config_wait},
+        loop, *this->store,
+        mirror_settings{platform::config_table, "", config_wait, "entry", &this->metrics},
         [this](const ports::row& row) { this->on_config_row(row); },
         [this] { this->on_rows_confirmed(); });
     this->job_rows = std::make_unique<mirrored_table>(
-        loop, *this->store, mirror_settings{job_table, site_partition, job_wait},
+        loop, *this->store,
+        mirror_settings{job_table, site_partition, job_wait, "entry", &this->metrics},
         [this](const ports::row& row) { this->jobs.apply(row, core::boot_clock::now()); },
         [this] { this->on_rows_confirmed(); });
     const net::server_context context{this->buffers,
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -91,22 +91,23 @@
     this->scheduler.confirm_version(row_version);
     this->member_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
-        mirror_settings{member_table, site_partition, member_wait},
+        mirror_settings{member_table, site_partition, member_wait, "lead", &this->context.metrics},
         [this](const ports::row& row) { this->on_member_row(row); },
         [this] { this->on_members_confirmed(); });
     this->config_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
-        mirror_settings{platform::config_table, "", this->evacuations.watch_wait(config_wait)},
+        mirror_settings{platform::config_table, "", this->evacuations.watch_wait(config_wait),
+                        "lead", &this->context.metrics},
         [this](const ports::row& row) { this->on_config_row(row); },
         [this] { this->on_config_confirmed(); });
     this->job_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
-        mirror_settings{job_table, site_partition, job_wait},
+        mirror_settings{job_table, site_partition, job_wait, "lead", &this->context.metrics},
         [this](const ports::row& row) { this->on_job_row(row); },
         [this] { this->load_jobs_if_ready(); });
     this->leader_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
-        mirror_settings{leader_table, site_partition, leader_wait},
+        mirror_settings{leader_table, site_partition, leader_wait, "lead", &this->context.metrics},
         [this](const ports::row& row) { this->on_leader_row(row); },
         [this]
         {
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -1,6 +1,7 @@
 #include "site/mirrored_table.hpp"
 
 #include "chicorylift/core/error.hpp"
+#include "support/events.hpp"
 
 #include <algorithm>
 #include <random>
@@ -13,7 +14,11 @@
 namespace
 {
 
+namespace events = support::events;
+
 constexpr core::milliseconds list_timeout{1200};
+// Longer transfers are logged: they delay what the rows say.
+constexpr core::milliseconds slow_transfer{300};
 constexpr core::milliseconds min_retry_delay{100};
 // Recovers within a second of the service's return; jitter spreads the retries of the processes.
 constexpr core::milliseconds max_retry_delay{600};
@@ -42,10 +47,11 @@
         const std::weak_ptr<implementation> self = this->shared_from_this();
         this->service.read(this->settings.table, this->settings.partition, first_key, 0,
                            list_timeout,
-                           [self](const absl::StatusOr<ports::row_page>& page)
+                           [self, sent_at](const absl::StatusOr<ports::row_page>& page)
                            {
                                if (const auto alive = self.lock())
                                {
+                                   alive->record_call("list", sent_at, page);
                                    alive->on_list(page);
                                }
                            });
@@ -119,6 +125,7 @@
                 if (alive != nullptr && number == alive->watch_number)
                 {
                     alive->watch_in_flight = false;
+                    alive->record_call("watch", sent_at, page);
                     alive->on_changes(page, sent_at);
                 }
             });
@@ -195,6 +202,52 @@
         this->on_confirmed();
     }
 
+    /// Logs and counts the outcome of a call.
+    void record_call(std::string_view call, core::instant sent_at,
+                     const absl::StatusOr<ports::row_page>& page)
+    {
+        const core::instant now = core::boot_clock::now();
+        const std::string kind = this->settings.table + " " + std::string(call);
+        if (!page.ok())
+        {
+            this->count("table_calls_failed", kind, 1);
+            events::write("table_call_failed",
+                          {{"at", this->settings.reader},
+                           {"table", this->settings.table},
+                           {"call", call},
+                           {"after_version", this->after},
+                           {"took_ms", (now - sent_at).count()},
+                           {"behind_ms", (now - std::max(this->confirmed, this->created)).count()},
+                           {"reason", std::string(page.status().message())}});
+            return;
+        }
+        this->count("table_bytes", kind, page->transfer.body_bytes);
+        const ports::page_transfer& transfer = page->transfer;
+        if (transfer.complete - transfer.first_byte + transfer.decoding >= slow_transfer)
+        {
+            this->count("table_calls_slow", kind, 1);
+            events::write("table_call_slow",
+                          {{"at", this->settings.reader},
+                           {"table", this->settings.table},
+                           {"call", call},
+                           {"version", page->version},
+                           {"rows", static_cast<std::uint64_t>(page->rows.size())},
+                           {"bytes", static_cast<std::uint64_t>(transfer.body_bytes)},
+                           {"first_byte_ms", transfer.first_byte.count()},
+                           {"complete_ms", transfer.complete.count()},
+                           {"decoding_ms", transfer.decoding.count()},
+                           {"behind_ms", (now - this->confirmed).count()}});
+        }
+    }
+
+    void count(std::string_view name, const std::string& kind, std::uint64_t amount)
+    {
+        if (this->settings.metrics != nullptr)
+        {
+            this->settings.metrics->increment(name, kind, amount);
+        }
+    }
+
     void retry(void (*operation)(implementation&))
     {
         if (this->failing_since == core::instant{})
@@ -228,6 +281,7 @@
     ports::revision newest{};
     ports::revision list_version{};
     core::instant list_sent_at{};
+    core::instant created = core::boot_clock::now();
     core::instant confirmed{};
     core::instant answered{};
     core::instant failing_since{};
--- a/src/site/mirrored_table.hpp
+++ b/src/site/mirrored_table.hpp
@@ -2,11 +2,13 @@
 
 #include "net/event_loop.hpp"
 #include "ports/table_service.hpp"
+#include "support/metrics.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace chicorylift::site
 {
@@ -18,6 +20,10 @@
     std::string partition;
     /// Longest wait of one watch call; bounds the staleness of the rows.
     core::milliseconds wait = std::chrono::milliseconds{2000};
+    /// Component that reads the rows, for the log ("entry" or "lead").
+    std::string_view reader = "";
+    /// Counts calls and bytes; none are counted without it.
+    support::metrics* metrics = nullptr;
 };
 
 /// Follows the rows of a table partition: lists them once, then watches for changes.
