Give up a page of the store when it stalls, not when it is large

Cause: the limit on a watch, its wait plus 600 ms, covered the whole answer. 4,247 routes are 1,134,543 bytes, which a link of 10 Mbit/s carries in 0.95 s. A retry does not wait, so it had 600 ms for the same bytes: it could never succeed, and it filled the link. Entries recovered when the store's history ended after 20 s and a listing had 1,200 ms.

Now the limit ends when the answer begins. From then on the call is given up when fewer than 4 KiB arrive within 600 ms, so a store that falls silent within an answer is noticed no later than one that does not answer. The size of an answer no longer decides whether it can be received.

--- a/src/net/async_http_client.cpp
+++ b/src/net/async_http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/async_http_client.hpp"
 
 #include "chicorylift/core/error.hpp"
+#include "net/response_deadline.hpp"
 #include "net/send_some.hpp"
 
 #include <Poco/Exception.h>
@@ -42,10 +43,17 @@
 
 struct exchange_state
 {
+    exchange_state(client_request what, async_http_client::response_callback on_outcome)
+        : request(std::move(what)), on_outcome(std::move(on_outcome)),
+          deadline(this->started_at, this->request.response_timeout, this->request.stall_timeout)
+    {
+    }
+
     client_request request;
     async_http_client::response_callback on_outcome;
     event_loop::timer_id timer{};
     core::instant started_at = core::boot_clock::now();
+    response_deadline deadline;
     /// Unset until the response begins.
     std::optional<core::instant> first_byte_at;
 };
@@ -93,21 +101,9 @@
 
     void send(client_request request, response_callback on_outcome)
     {
-        auto state = std::make_shared<exchange_state>();
-        state->request = std::move(request);
-        state->on_outcome = std::move(on_outcome);
+        auto state = std::make_shared<exchange_state>(std::move(request), std::move(on_outcome));
         destination& to = this->destinations[state->request.address];
-        const std::weak_ptr<implementation> self = this->shared_from_this();
-        state->timer = this->loop.run_after(state->request.response_timeout,
-                                            [self, weak = std::weak_ptr<exchange_state>(state)]
-                                            {
-                                                const auto alive = self.lock();
-                                                const auto timed_out = weak.lock();
-                                                if (alive != nullptr && timed_out != nullptr)
-                                                {
-                                                    alive->on_timeout(timed_out);
-                                                }
-                                            });
+        this->start_timer(state, state->request.response_timeout);
         if (this->try_assign(to, state))
         {
             return;
@@ -122,6 +118,21 @@
         to.waiting.push_back(std::move(state));
     }
 
+    void start_timer(const std::shared_ptr<exchange_state>& state, core::milliseconds delay)
+    {
+        const std::weak_ptr<implementation> self = this->shared_from_this();
+        state->timer = this->loop.run_after(delay,
+                                            [self, weak = std::weak_ptr<exchange_state>(state)]
+                                            {
+                                                const auto alive = self.lock();
+                                                const auto timed_out = weak.lock();
+                                                if (alive != nullptr && timed_out != nullptr)
+                                                {
+                                                    alive->on_timeout(timed_out);
+                                                }
+                                            });
+    }
+
     bool try_assign(destination& to, const std::shared_ptr<exchange_state>& state)
     {
         const core::instant now = core::boot_clock::now();
@@ -267,10 +278,9 @@
             this->fail(here, "connection closed before a complete response arrived");
             return;
         }
-        if (!here->current->first_byte_at.has_value())
-        {
-            here->current->first_byte_at = core::boot_clock::now();
-        }
+        const core::instant now = core::boot_clock::now();
+        here->current->first_byte_at = here->current->first_byte_at.value_or(now);
+        here->current->deadline.on_bytes(static_cast<std::size_t>(count), now);
         here->input.append(chunk.data(), static_cast<std::size_t>(count));
         if (!here->has_header && !this->read_header(here))
         {
@@ -396,10 +406,18 @@
     void on_timeout(const std::shared_ptr<exchange_state>& timed_out)
     {
         timed_out->timer = 0;
+        const core::milliseconds left = timed_out->deadline.at() - core::boot_clock::now();
+        if (left.count() > 0)
+        {
+            // Bytes have arrived since the timer was started.
+            this->start_timer(timed_out, left);
+            return;
+        }
         const handle here = this->find(timed_out);
         if (here != handle{})
         {
-            this->fail(here, "no answer in time");
+            this->fail(here, timed_out->first_byte_at.has_value() ? "the response stalled"
+                                                                  : "no answer in time");
             return;
         }
         std::erase(this->destinations[timed_out->request.address].waiting, timed_out);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -30,6 +30,9 @@
     std::string body;
     core::milliseconds connect_timeout = std::chrono::milliseconds{500};
     core::milliseconds response_timeout = std::chrono::seconds{2};
+    /// If not 0, response_timeout ends when the response begins, which then may take as long as it
+    /// does not stall for this long; see response_deadline. Only async_http_client supports this.
+    core::milliseconds stall_timeout{};
 };
 
 /// How a response arrived. Times count from when the request was handed to the client.
--- a/src/ports/table_service.hpp
+++ b/src/ports/table_service.hpp
@@ -118,6 +118,7 @@
     virtual void commit(const transaction& changes, core::milliseconds timeout,
                         commit_receiver on_outcome) = 0;
     /// Reads the rows of a partition in key order, starting at @p first_key (inclusive).
+    /// @param timeout limit on the wait for the response to begin.
     virtual void read(const std::string& table, const std::string& partition,
                       const std::string& first_key, std::size_t limit, core::milliseconds timeout,
                       page_receiver on_page) = 0;
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -16,6 +16,7 @@
 
 namespace events = support::events;
 
+// Limits the wait for the response to begin.
 constexpr core::milliseconds list_timeout{1200};
 // Longer transfers are logged: they delay what the rows say.
 constexpr core::milliseconds slow_transfer{300};
