List a table again when its changes are larger than a listing

Entries that had fallen behind a large configuration by several versions were sent all of them: the store's changes hold each version of a row, not only the newest. 2,268,774 bytes for two versions of 4,247 routes, and from eight versions on more than the 8 MiB that are accepted. Callers were served by the old version, or got 503, the longer the faster the versions came.

A mirrored table now compares the announced size of the changes with that of a listing, from the rows it holds. If the changes are larger by half and by 64 KiB, it gives the answer up and lists the table, which has each row once. A confirmation asked for while changes arrive waits for them instead of having them sent a second time.

--- a/src/net/async_http_client.cpp
+++ b/src/net/async_http_client.cpp
@@ -289,6 +289,12 @@
         if (here->input.size() >= here->body_length)
         {
             this->on_response_complete(here);
+            return;
+        }
+        const auto& on_extent = here->current->request.on_extent;
+        if (on_extent && !on_extent({here->input.size(), here->body_length}))
+        {
+            this->fail(here, "given up by the caller");
         }
     }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,6 +3,7 @@
 #include "chicorylift/core/time.hpp"
 
 #include <absl/status/statusor.h>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,13 @@
     std::string value;
 };
 
+/// Part of a response's body that has arrived.
+struct response_extent
+{
+    std::size_t received_bytes{};
+    std::size_t expected_bytes{};
+};
+
 /// Request to send.
 struct client_request
 {
@@ -33,6 +41,8 @@
     /// If not 0, response_timeout ends when the response begins, which then may take as long as it
     /// does not stall for this long; see response_deadline. Only async_http_client supports this.
     core::milliseconds stall_timeout{};
+    /// Called while the response arrives; false gives it up. Only async_http_client supports this.
+    std::function<bool(const response_extent&)> on_extent;
 };
 
 /// How a response arrived. Times count from when the request was handed to the client.
--- a/src/ports/table_service.hpp
+++ b/src/ports/table_service.hpp
@@ -98,6 +98,13 @@
     bool truncated = false;
 };
 
+/// Part of a response that has arrived.
+struct page_extent
+{
+    std::size_t received_bytes{};
+    std::size_t expected_bytes{};
+};
+
 /// Client of a transactional table service.
 ///
 /// Calls do not block; callbacks run on the event loop's thread.
@@ -108,6 +115,8 @@
     /// Fails with store_unavailable, or with not_found if the service has discarded the changes
     /// since a watch's revision.
     using page_receiver = std::function<void(absl::StatusOr<row_page>)>;
+    /// Called while a page arrives; false gives it up, and the call fails with store_unavailable.
+    using extent_receiver = std::function<bool(const page_extent&)>;
 
     table_service() = default;
     virtual ~table_service() = default;
@@ -119,12 +128,15 @@
                         commit_receiver on_outcome) = 0;
     /// Reads the rows of a partition in key order, starting at @p first_key (inclusive).
     /// @param timeout limit on the wait for the response to begin.
+    /// @param on_extent may be empty.
     virtual void read(const std::string& table, const std::string& partition,
                       const std::string& first_key, std::size_t limit, core::milliseconds timeout,
-                      page_receiver on_page) = 0;
-    /// Long-polls up to @p wait for rows of a table that changed after revision @p after.
+                      page_receiver on_page, extent_receiver on_extent) = 0;
+    /// Long-polls up to @p wait for rows of a table that changed after revision @p after. A row that
+    /// changed several times is returned as often.
+    /// @param on_extent may be empty.
     virtual void watch(const std::string& table, revision after, core::milliseconds wait,
-                       page_receiver on_page) = 0;
+                       page_receiver on_page, extent_receiver on_extent) = 0;
 };
 
 } // namespace chicorylift::ports
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -417,7 +417,8 @@
                               this->election.on_store_round_trip(core::boot_clock::now() - sent_at);
                           }
                           this->on_leader_row(page, may_campaign);
-                      });
+                      },
+                      {});
 }
 
 void agent::on_leader_row(const absl::StatusOr<ports::row_page>& page, bool may_campaign)
@@ -565,7 +566,8 @@
             this->loop.run_after(
                 wrap_around ? core::milliseconds{0} : member_read_interval, [this, wrap_around]
                 { this->read_probe_targets(wrap_around ? std::string{} : this->values.name); });
-        });
+        },
+        {});
 }
 
 void agent::tick()
--- a/src/site/entry_calls.cpp
+++ b/src/site/entry_calls.cpp
@@ -207,7 +207,8 @@
                           }
                           this->respond_refused(*pending, client_result::unavailable,
                                                 std::string(page.status().message()));
-                      });
+                      },
+                      {});
 }
 
 void entry::try_submission(const std::shared_ptr<submission>& pending)
@@ -373,7 +374,8 @@
                           const cached_job* const found = view.find(job);
                           on_job(found == nullptr ? std::optional<cached_job>{}
                                                   : std::optional(*found));
-                      });
+                      },
+                      {});
 }
 
 void entry::show(const batch::resolved_request& call, const responder& respond)
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -597,7 +597,8 @@
                                          this->step_down("the leader row has changed");
                                      }
                                  }
-                             });
+                             },
+                             {});
 }
 
 bool leader::has_quorum(core::instant now) const
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -20,12 +20,23 @@
 constexpr core::milliseconds list_timeout{1200};
 // Longer transfers are logged: they delay what the rows say.
 constexpr core::milliseconds slow_transfer{300};
+// A row's value is encoded in four bytes for three; its name and version take the rest.
+constexpr std::size_t encoded_bytes_per_3 = 4;
+constexpr std::size_t row_overhead_bytes = 200;
+// Below this, another round trip costs more than the bytes that it saves.
+constexpr std::size_t min_saving_bytes = 64U << 10U;
 constexpr core::milliseconds min_retry_delay{100};
 // Recovers within a second of the service's return; jitter spreads the retries of the processes.
 constexpr core::milliseconds max_retry_delay{600};
 
 } // namespace
 
+bool is_listing_cheaper(std::size_t changes_bytes, std::size_t listing_bytes) noexcept
+{
+    // A single new version that is larger than the known one is received as it is.
+    return changes_bytes > listing_bytes + listing_bytes / 2 + min_saving_bytes;
+}
+
 struct mirrored_table::implementation
     : public std::enable_shared_from_this<mirrored_table::implementation>
 {
@@ -55,7 +66,8 @@
                                    alive->record_call("list", sent_at, page);
                                    alive->on_list(page);
                                }
-                           });
+                           },
+                           {});
     }
 
     void on_list(const absl::StatusOr<ports::row_page>& page)
@@ -105,6 +117,8 @@
             removed.version = this->list_version;
             removed.removed = true;
             this->versions.erase(key);
+            this->value_bytes -= this->sizes[key];
+            this->sizes.erase(key);
             this->on_row(removed);
         }
     }
@@ -114,29 +128,59 @@
     {
         const core::instant sent_at = core::boot_clock::now();
         const std::weak_ptr<implementation> self = this->shared_from_this();
+        const std::uint64_t number = ++this->watch_number;
         this->watch_in_flight = true;
+        this->changes_arriving = false;
         this->service.watch(
             this->settings.table, this->after,
             std::exchange(this->confirm_wanted, false) ? core::milliseconds{0} : wait,
-            [self, sent_at,
-             number = ++this->watch_number](const absl::StatusOr<ports::row_page>& page)
+            [self, sent_at, number](const absl::StatusOr<ports::row_page>& page)
             {
                 const auto alive = self.lock();
                 // The answer of a superseded watch is not used: the later one covers its changes.
                 if (alive != nullptr && number == alive->watch_number)
                 {
                     alive->watch_in_flight = false;
-                    alive->record_call("watch", sent_at, page);
+                    if (!alive->listing_wanted)
+                    {
+                        alive->record_call("watch", sent_at, page);
+                    }
                     alive->on_changes(page, sent_at);
                 }
+            },
+            [self, number](const ports::page_extent& extent)
+            {
+                const auto alive = self.lock();
+                return alive != nullptr && number == alive->watch_number &&
+                       alive->wants_changes(extent.expected_bytes);
             });
     }
 
+    bool wants_changes(std::size_t changes_bytes)
+    {
+        this->changes_arriving = true;
+        const std::size_t listing_bytes = this->value_bytes / 3 * encoded_bytes_per_3 +
+                                          this->versions.size() * row_overhead_bytes;
+        if (!is_listing_cheaper(changes_bytes, listing_bytes))
+        {
+            return true;
+        }
+        this->listing_wanted = true;
+        events::write("table_relisted",
+                      {{"at", this->settings.reader},
+                       {"table", this->settings.table},
+                       {"after_version", this->after},
+                       {"changes_bytes", static_cast<std::uint64_t>(changes_bytes)},
+                       {"listing_bytes", static_cast<std::uint64_t>(listing_bytes)}});
+        this->count("table_relisted", this->settings.table, 1);
+        return false;
+    }
+
     void confirm_soon()
     {
-        // A listing or a retry in progress is followed by a watch.
+        // A listing, a retry or changes in progress are followed by a watch.
         this->confirm_wanted = true;
-        if (this->watch_in_flight)
+        if (this->watch_in_flight && !this->changes_arriving)
         {
             this->watch(core::milliseconds{0});
         }
@@ -146,7 +190,8 @@
     {
         if (!page.ok())
         {
-            if (core::kind_of(page.status()) == core::error_kind::not_found)
+            if (std::exchange(this->listing_wanted, false) ||
+                core::kind_of(page.status()) == core::error_kind::not_found)
             {
                 this->list({});
                 return;
@@ -187,9 +232,13 @@
             return;
         }
         known = row.version;
+        std::size_t& size = this->sizes[row.id.key];
+        this->value_bytes += row.value.size() - size;
+        size = row.value.size();
         if (row.removed)
         {
             this->versions.erase(row.id.key);
+            this->sizes.erase(row.id.key);
         }
         this->on_row(row);
     }
@@ -277,6 +326,9 @@
     confirmed_receiver on_confirmed;
     std::minstd_rand random;
     std::map<std::string, ports::revision> versions;
+    /// Bytes of the rows' values, by key and in total.
+    std::map<std::string, std::size_t> sizes;
+    std::size_t value_bytes{};
     std::set<std::string> listed;
     ports::revision after{};
     ports::revision newest{};
@@ -290,6 +342,9 @@
     bool loaded = false;
     std::uint64_t watch_number{};
     bool watch_in_flight = false;
+    bool changes_arriving = false;
+    /// The watch was given up for a listing.
+    bool listing_wanted = false;
     /// The next watch does not wait for changes.
     bool confirm_wanted = false;
 };
--- a/src/site/mirrored_table.hpp
+++ b/src/site/mirrored_table.hpp
@@ -26,7 +26,15 @@
     support::metrics* metrics = nullptr;
 };
 
-/// Follows the rows of a table partition: lists them once, then watches for changes.
+/// Decides whether to list a table again instead of receiving its changes, which include versions
+/// that others have replaced since.
+/// @param changes_bytes size of the response with the changes.
+/// @param listing_bytes size of a listing, as far as the rows are known.
+[[nodiscard]] bool is_listing_cheaper(std::size_t changes_bytes,
+                                      std::size_t listing_bytes) noexcept;
+
+/// Follows the rows of a table partition: lists them once, then watches for changes. Lists them
+/// again when the changes are no longer available, or larger than a listing.
 ///
 /// Versions of a row never decrease: a row older than one already seen is ignored.
 class mirrored_table
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -48,6 +48,8 @@
     event_kind{"table_call_failed", 20,
                "a listing or watch of a table failed, with the time and bytes it took"},
     event_kind{"table_call_slow", 20, "an answer took long to arrive or to be decoded"},
+    event_kind{"table_relisted", 20,
+               "a table is listed again since its changes are larger than a listing"},
     event_kind{"config_in_force", 50, "a configuration version takes effect"},
     event_kind{"config_rejected", 10, "a configuration version cannot be parsed"},
     event_kind{"config_stale", 10, "the configuration was not confirmed in time"},
