Count the bytes of an arriving page as a sign of life of the store

An entry that was receiving a large configuration reported itself as not ready: it judges its store by the last complete answer, and 10,000 routes take 2.4 s on a link of 10 Mbit/s where 1.3 s without an answer are allowed. The load balancer took such entries out of rotation, and submissions were preceded by a read of the store.

The time of the last answer now advances with every part of a page. A store that falls silent within an answer is still noticed after 1.3 s ("a store that falls silent within an answer makes an entry unready as soon as ever").

--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -87,7 +87,7 @@
     [[nodiscard]] core::milliseconds max_config_age() const noexcept;
     [[nodiscard]] core::milliseconds retry_after();
     [[nodiscard]] bool is_store_unavailable() const;
-    /// @return time since the last successful response of the store.
+    /// @return time since the store last sent a successful response or a part of one.
     [[nodiscard]] core::milliseconds time_since_store_answer() const;
     [[nodiscard]] bool is_ready() const;
 
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -67,7 +67,15 @@
                                    alive->on_list(page);
                                }
                            },
-                           {});
+                           [self](const ports::page_extent&)
+                           {
+                               const auto alive = self.lock();
+                               if (alive != nullptr)
+                               {
+                                   alive->answered = core::boot_clock::now();
+                               }
+                               return alive != nullptr;
+                           });
     }
 
     void on_list(const absl::StatusOr<ports::row_page>& page)
@@ -159,6 +167,7 @@
     bool wants_changes(std::size_t changes_bytes)
     {
         this->changes_arriving = true;
+        this->answered = core::boot_clock::now();
         const std::size_t listing_bytes = this->value_bytes / 3 * encoded_bytes_per_3 +
                                           this->versions.size() * row_overhead_bytes;
         if (!is_listing_cheaper(changes_bytes, listing_bytes))
--- a/src/site/mirrored_table.hpp
+++ b/src/site/mirrored_table.hpp
@@ -55,7 +55,7 @@
     [[nodiscard]] bool is_loaded() const noexcept;
     /// @return time at which the latest call that confirmed the rows was sent.
     [[nodiscard]] core::instant confirmed_at() const noexcept;
-    /// @return time of the last successful response.
+    /// @return when the service last sent a successful response or a part of one.
     [[nodiscard]] core::instant last_answer_at() const noexcept;
     /// @return time since the first failure after the last success; 0 while calls succeed.
     [[nodiscard]] core::milliseconds failing_for(core::instant now) const noexcept;
--- a/tests/config_delivery_test.cpp
+++ b/tests/config_delivery_test.cpp
@@ -16,6 +16,8 @@
 constexpr int one_way_delay_ms = 30;
 // Some 1.8 MB in the store's answer, so that the link alone takes 1.4 s.
 constexpr int many_routes = 6000;
+// Some 3 MB, 2.4 s: longer than an entry stays ready without a word from its store.
+constexpr int most_routes = 10000;
 // A version must be in force this long after the store has acknowledged it.
 constexpr core::milliseconds apply_limit = 4s;
 // An entry must be ready this long after it has started beside a store that answers.
@@ -96,6 +98,17 @@
     CHECK(callers.refused == 0);
 }
 
+TEST_CASE("an entry stays ready while a large configuration arrives")
+{
+    batch_site site(1, 1, {}, true);
+    site.configure(1, {"key-a"});
+    REQUIRE(batch_site::wait_for([&] { return is_ready(site, 0); }));
+    make_thin(site, 0);
+    site.configure(2, {"key-a"}, most_routes);
+    CHECK(batch_site::wait_for([&] { return is_in_force(site, 0, 2); }, apply_limit));
+    CHECK(site.entry(0).output().find(R"("ready":"no")") == std::string::npos);
+}
+
 TEST_CASE("versions that come faster than a thin link carries them are skipped to the newest")
 {
     constexpr int first_version = 2;
