Do not serve public queues by a configuration known to be replaced

A request to a public queue was handled by a configuration of any age: "handled by version 12 or older; version 14 was acked more than 4000 ms before". Requests with a key got 503 by then.

Serving public queues without the store is right while nothing newer can be known, since their callers need no key that may have been revoked. But an entry that has begun to receive changes knows that it is behind. A job that is stored already is still reported as accepted.

config_stale and the metrics config_age_ms and config_newer_known_ms say since when a newer version has been known.

Evidence: the new cases of batch_test, mirrored_table_test and config_delivery_test; with the condition taken out, the first and the last fail (200 instead of 503).

--- a/include/chicorylift/batch/site_config.hpp
+++ b/include/chicorylift/batch/site_config.hpp
@@ -101,13 +101,22 @@
     core::organisation_id organisation;
 };
 
+/// How far a configuration can be relied on.
+struct config_freshness
+{
+    /// Time since the configuration was last confirmed.
+    core::milliseconds age{};
+    /// Beyond this age, requests that need a key are rejected, since it may have been revoked.
+    core::milliseconds allowed_age{};
+    /// A newer version exists and has not been received yet. Beyond the allowed age, requests to
+    /// public queues are then rejected too; otherwise they are served while the store is away.
+    bool newer_exists = false;
+};
+
 /// Determines the route and operation of a request and whether it is authorised.
 /// @param config the newest configuration, or nullptr before the first one has been read.
-/// @param age time since the configuration was last confirmed.
-/// @param allowed_age maximum age for requests to queues that are not public; beyond it they are
-/// rejected, since the key may have been revoked.
 [[nodiscard]] resolved_request resolve_request(const api_request& request,
-                                               const site_config* config, core::milliseconds age,
-                                               core::milliseconds allowed_age);
+                                               const site_config* config,
+                                               const config_freshness& freshness);
 
 } // namespace chicorylift::batch
--- a/src/batch/site_config.cpp
+++ b/src/batch/site_config.cpp
@@ -96,7 +96,7 @@
 }
 
 resolved_request resolve_request(const api_request& request, const site_config* config,
-                                 core::milliseconds age, core::milliseconds allowed_age)
+                                 const config_freshness& freshness)
 {
     resolved_request result;
     if (config == nullptr)
@@ -104,7 +104,7 @@
         result.rejection = rejection_reason::no_config;
         return result;
     }
-    const bool stale = age > allowed_age;
+    const bool stale = freshness.age > freshness.allowed_age;
     const queue_route* const route = config->find_route(request.host, request.path);
     if (route == nullptr)
     {
@@ -122,7 +122,7 @@
         result.rejection = stale ? rejection_reason::stale_config : rejection_reason::unknown_key;
         return result;
     }
-    if (stale && !route->is_public)
+    if (stale && (!route->is_public || freshness.newer_exists))
     {
         result.rejection = rejection_reason::stale_config;
         return result;
--- a/src/site/entry.cpp
+++ b/src/site/entry.cpp
@@ -91,6 +91,8 @@
             {
                 net::server_response response;
                 response.content_type = "text/plain";
+                this->metrics.set("config_age_ms", this->config_age().count());
+                this->metrics.set("config_newer_known_ms", this->newer_config_known_for().count());
                 this->metrics.set("buffered_bytes",
                                   static_cast<std::int64_t>(this->buffers->held()));
                 response.body = this->metrics.to_text();
@@ -194,6 +196,7 @@
         events::write(stale ? "config_stale" : "config_fresh",
                       {{"config_age_ms", this->config_age().count()},
                        {"allowed_ms", this->max_config_age().count()},
+                       {"newer_known_ms", this->newer_config_known_for().count()},
                        {"version", this->config.has_value() ? this->config->version : 0}});
     }
     this->check_ready();
@@ -224,6 +227,18 @@
     return core::boot_clock::now() - this->config_rows->confirmed_at();
 }
 
+batch::config_freshness entry::config_freshness() const
+{
+    return {this->config_age(), this->max_config_age(),
+            this->config_rows->changes_pending_since().has_value()};
+}
+
+core::milliseconds entry::newer_config_known_for() const
+{
+    const auto since = this->config_rows->changes_pending_since();
+    return since.has_value() ? core::boot_clock::now() - *since : core::milliseconds{0};
+}
+
 core::milliseconds entry::max_config_age() const noexcept
 {
     return this->values.key_revocation - revocation_margin;
@@ -254,9 +269,8 @@
 void entry::handle_request(const net::server_request& request, const responder& respond)
 {
     const batch::api_request call = platform::parse_call(request);
-    const batch::resolved_request resolved =
-        batch::resolve_request(call, this->config.has_value() ? &*this->config : nullptr,
-                               this->config_age(), this->max_config_age());
+    const batch::resolved_request resolved = batch::resolve_request(
+        call, this->config.has_value() ? &*this->config : nullptr, this->config_freshness());
     if (resolved.rejection != batch::rejection_reason::none)
     {
         events::write("call_refused",
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -84,6 +84,9 @@
     void check_drained();
 
     [[nodiscard]] core::milliseconds config_age() const;
+    [[nodiscard]] batch::config_freshness config_freshness() const;
+    /// @return time since a newer configuration has been known to exist; 0 if none is.
+    [[nodiscard]] core::milliseconds newer_config_known_for() const;
     [[nodiscard]] core::milliseconds max_config_age() const noexcept;
     [[nodiscard]] core::milliseconds retry_after();
     [[nodiscard]] bool is_store_unavailable() const;
--- a/src/site/entry_calls.cpp
+++ b/src/site/entry_calls.cpp
@@ -305,9 +305,11 @@
     recheck.host = pending.call.route.host;
     recheck.path = pending.call.route.path_prefix;
     recheck.key = pending.key;
-    const batch::resolved_request revalidated =
-        batch::resolve_request(recheck, this->config.has_value() ? &*this->config : nullptr,
-                               this->config_age(), this->max_config_age());
+    batch::config_freshness freshness = this->config_freshness();
+    // The job is stored: a public queue's is not called unknown because its route may be outdated.
+    freshness.newer_exists = false;
+    const batch::resolved_request revalidated = batch::resolve_request(
+        recheck, this->config.has_value() ? &*this->config : nullptr, freshness);
     if (revalidated.rejection != batch::rejection_reason::none &&
         revalidated.rejection != batch::rejection_reason::unknown_queue)
     {
--- a/src/site/mirrored_table.cpp
+++ b/src/site/mirrored_table.cpp
@@ -57,25 +57,25 @@
             this->list_version = 0;
         }
         const std::weak_ptr<implementation> self = this->shared_from_this();
-        this->service.read(this->settings.table, this->settings.partition, first_key, 0,
-                           list_timeout,
-                           [self, sent_at](const absl::StatusOr<ports::row_page>& page)
-                           {
-                               if (const auto alive = self.lock())
-                               {
-                                   alive->record_call("list", sent_at, page);
-                                   alive->on_list(page);
-                               }
-                           },
-                           [self](const ports::page_extent&)
-                           {
-                               const auto alive = self.lock();
-                               if (alive != nullptr)
-                               {
-                                   alive->answered = core::boot_clock::now();
-                               }
-                               return alive != nullptr;
-                           });
+        this->service.read(
+            this->settings.table, this->settings.partition, first_key, 0, list_timeout,
+            [self, sent_at](const absl::StatusOr<ports::row_page>& page)
+            {
+                if (const auto alive = self.lock())
+                {
+                    alive->record_call("list", sent_at, page);
+                    alive->on_list(page);
+                }
+            },
+            [self](const ports::page_extent&)
+            {
+                const auto alive = self.lock();
+                if (alive != nullptr)
+                {
+                    alive->answered = core::boot_clock::now();
+                }
+                return alive != nullptr;
+            });
     }
 
     void on_list(const absl::StatusOr<ports::row_page>& page)
@@ -168,6 +168,7 @@
     {
         this->changes_arriving = true;
         this->answered = core::boot_clock::now();
+        this->pending_since = this->pending_since.value_or(this->answered);
         const std::size_t listing_bytes = this->value_bytes / 3 * encoded_bytes_per_3 +
                                           this->versions.size() * row_overhead_bytes;
         if (!is_listing_cheaper(changes_bytes, listing_bytes))
@@ -256,6 +257,7 @@
     {
         this->confirmed = std::max(this->confirmed, sent_at);
         this->answered = core::boot_clock::now();
+        this->pending_since.reset();
         this->failing_since = {};
         this->retry_delay = min_retry_delay;
         this->on_confirmed();
@@ -346,6 +348,7 @@
     core::instant created = core::boot_clock::now();
     core::instant confirmed{};
     core::instant answered{};
+    std::optional<core::instant> pending_since;
     core::instant failing_since{};
     core::milliseconds retry_delay = min_retry_delay;
     bool loaded = false;
@@ -393,6 +396,11 @@
     return this->inner->answered;
 }
 
+std::optional<core::instant> mirrored_table::changes_pending_since() const noexcept
+{
+    return this->inner->pending_since;
+}
+
 core::milliseconds mirrored_table::failing_for(core::instant now) const noexcept
 {
     return this->inner->failing_since == core::instant{} ? core::milliseconds{0}
--- a/src/site/mirrored_table.hpp
+++ b/src/site/mirrored_table.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +58,8 @@
     [[nodiscard]] core::instant confirmed_at() const noexcept;
     /// @return when the service last sent a successful response or a part of one.
     [[nodiscard]] core::instant last_answer_at() const noexcept;
+    /// @return since when changes are known to exist that have not been received completely.
+    [[nodiscard]] std::optional<core::instant> changes_pending_since() const noexcept;
     /// @return time since the first failure after the last success; 0 while calls succeed.
     [[nodiscard]] core::milliseconds failing_for(core::instant now) const noexcept;
     /// @return the version of the table service up to which the rows are known.
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -947,26 +947,22 @@
 TEST_CASE("a request is routed to the longest matching prefix of its host")
 {
     const site_config config = config_with_two_queues();
-    const milliseconds fresh{10};
-    const milliseconds allowed{3000};
+    const config_freshness fresh{milliseconds{10}, milliseconds{3000}};
     api_request call{http_method::post, "A.example:80", "/jobs/night/0123456789abcdef", ""};
-    resolved_request found = resolve_request(call, &config, fresh, allowed);
+    resolved_request found = resolve_request(call, &config, fresh);
     CHECK(found.rejection == rejection_reason::none);
     CHECK(found.route.policy.queue.str() == "narrow");
     CHECK(found.operation == api_operation::submit);
     call.path = "/jobs/0123456789abcdef";
-    CHECK(resolve_request(call, &config, fresh, allowed).rejection ==
-          rejection_reason::unknown_key);
+    CHECK(resolve_request(call, &config, fresh).rejection == rejection_reason::unknown_key);
     call.key = "k1";
-    found = resolve_request(call, &config, fresh, allowed);
+    found = resolve_request(call, &config, fresh);
     CHECK(found.organisation.str() == "one");
     call.path = "/jobs/not-an-id";
-    CHECK(resolve_request(call, &config, fresh, allowed).rejection ==
-          rejection_reason::unknown_path);
+    CHECK(resolve_request(call, &config, fresh).rejection == rejection_reason::unknown_path);
     call.host = "b.example";
-    CHECK(resolve_request(call, &config, fresh, allowed).rejection ==
-          rejection_reason::unknown_queue);
-    CHECK(resolve_request(call, nullptr, fresh, allowed).rejection == rejection_reason::no_config);
+    CHECK(resolve_request(call, &config, fresh).rejection == rejection_reason::unknown_queue);
+    CHECK(resolve_request(call, nullptr, fresh).rejection == rejection_reason::no_config);
 }
 
 TEST_CASE("a key is rejected while the configuration is stale")
@@ -974,18 +970,31 @@
     const site_config config = config_with_two_queues();
     const milliseconds allowed{3000};
     api_request call{http_method::get, "a.example", "/jobs/0123456789abcdef", "k1"};
-    CHECK(resolve_request(call, &config, milliseconds{3000}, allowed).rejection ==
+    CHECK(resolve_request(call, &config, {milliseconds{3000}, allowed}).rejection ==
           rejection_reason::none);
-    CHECK(resolve_request(call, &config, milliseconds{3001}, allowed).rejection ==
+    CHECK(resolve_request(call, &config, {milliseconds{3001}, allowed}).rejection ==
           rejection_reason::stale_config);
     // An unknown key may be in the newer configuration, so the answer is not unknown_key. A public
     // queue needs no key and stays available.
     call.key = "unknown";
-    CHECK(resolve_request(call, &config, milliseconds{3001}, allowed).rejection ==
+    CHECK(resolve_request(call, &config, {milliseconds{3001}, allowed}).rejection ==
           rejection_reason::stale_config);
     call.path = "/jobs/night/";
-    CHECK(resolve_request(call, &config, milliseconds{3001}, allowed).rejection ==
+    CHECK(resolve_request(call, &config, {milliseconds{3001}, allowed}).rejection ==
           rejection_reason::none);
 }
 
+TEST_CASE("a public queue is not served on a stale configuration that is known to be replaced")
+{
+    const site_config config = config_with_two_queues();
+    const milliseconds allowed{3000};
+    const api_request call{http_method::get, "a.example", "/jobs/night/", ""};
+    CHECK(resolve_request(call, &config, {milliseconds{3001}, allowed, false}).rejection ==
+          rejection_reason::none);
+    CHECK(resolve_request(call, &config, {milliseconds{3000}, allowed, true}).rejection ==
+          rejection_reason::none);
+    CHECK(resolve_request(call, &config, {milliseconds{3001}, allowed, true}).rejection ==
+          rejection_reason::stale_config);
+}
+
 } // namespace
--- a/tests/config_delivery_test.cpp
+++ b/tests/config_delivery_test.cpp
@@ -169,4 +169,29 @@
     CHECK(batch_site::wait_for([&] { return is_in_force(site, 0, 2); }, apply_limit));
 }
 
+TEST_CASE("public queues are served without the store, unless a newer version is known to exist")
+{
+    constexpr std::string_view stale_event = R"("event":"config_stale")";
+    const auto is_stale = [&](batch_site& site)
+    { return site.entry(0).output().find(stale_event) != std::string::npos; };
+    for (const bool newer_known : {false, true})
+    {
+        batch_site site(1, 1, {}, true);
+        site.configure(1, {"key-a"}, 1);
+        REQUIRE(batch_site::wait_for([&] { return is_ready(site, 0); }));
+        make_thin(site, 0);
+        const std::uint64_t before = site.entry_link(0).bytes_from_target();
+        if (newer_known)
+        {
+            site.configure(2, {"key-a"}, many_routes);
+            REQUIRE(batch_site::wait_for(
+                [&] { return site.entry_link(0).bytes_from_target() > before + 100'000; }));
+        }
+        site.entry_link(0).set_frozen(true);
+        REQUIRE(batch_site::wait_for([&] { return is_stale(site); }));
+        CHECK(site.call(0, "GET", "").status == 503);
+        CHECK(site.get(0, "/version1/").status == (newer_known ? 503 : 200));
+    }
+}
+
 } // namespace
--- a/tests/mirrored_table_test.cpp
+++ b/tests/mirrored_table_test.cpp
@@ -105,6 +105,17 @@
     CHECK(config.service.listings == 1);
 }
 
+TEST_CASE("changes count as pending from their first bytes until they are received")
+{
+    mirrored_config config;
+    config.service.answer(1, large_value);
+    CHECK_FALSE(config.rows.changes_pending_since().has_value());
+    REQUIRE(config.service.begin_answer(large_value * 4 / 3));
+    CHECK(config.rows.changes_pending_since().has_value());
+    config.service.answer(2, large_value);
+    CHECK_FALSE(config.rows.changes_pending_since().has_value());
+}
+
 TEST_CASE("a confirmation asked for while changes arrive does not receive them twice")
 {
     mirrored_config config;
