--- a/src/batch/site_config.cpp
+++ b/src/batch/site_config.cpp
@@ -18,19 +18,19 @@
                        [](unsigned char character) { return std::isxdigit(character) != 0; });
 }
 
-std::string to_lower(std::string_view text)
+std::string_view without_port(std::string_view host)
 {
-    std::string copy(text);
-    std::transform(copy.begin(), copy.end(), copy.begin(),
-                   [](unsigned char character)
-                   { return static_cast<char>(std::tolower(character)); });
-    return copy;
+    return host.substr(0, host.find(':'));
 }
 
-/// @return the host in lower case and without its port.
-std::string normalized_host(std::string_view host)
+/// Ignores case and port.
+bool is_same_host(std::string_view left, std::string_view right)
 {
-    return to_lower(host.substr(0, host.find(':')));
+    left = without_port(left);
+    right = without_port(right);
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](unsigned char one, unsigned char other)
+                      { return std::tolower(one) == std::tolower(other); });
 }
 
 /// Sets the operation and job, or the rejection, from the method and the rest of the path after the
@@ -71,13 +71,12 @@
 
 const queue_route* site_config::find_route(std::string_view host, std::string_view path) const
 {
-    const std::string normalized = normalized_host(host);
     const queue_route* best = nullptr;
     for (const queue_route& route : this->routes)
     {
-        const bool matches =
-            normalized_host(route.host) == normalized && path.starts_with(route.path_prefix);
-        if (matches && (best == nullptr || route.path_prefix.size() > best->path_prefix.size()))
+        // The prefix rules out most routes at the least cost.
+        if (path.starts_with(route.path_prefix) && is_same_host(route.host, host) &&
+            (best == nullptr || route.path_prefix.size() > best->path_prefix.size()))
         {
             best = &route;
         }
