--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -211,6 +211,9 @@
     CHECK(platform::measure_json("").values == 0);
     CHECK(platform::measure_json(R"({"a":1,"b":[2,3],"c":"[,\",{"})").values ==
           2 * platform::container_weight + 4);
+    CHECK(platform::measure_json(R"({"a":"\\","b":["\"]",1]})").values ==
+          2 * platform::container_weight + 3);
+    CHECK(platform::measure_json(R"({"a":"\)").depth == 1);
     CHECK(platform::measure_json(R"([[],[[]]])").depth == 3);
     const std::string list = R"({"steps":[{},{},{},{}]})";
     CHECK(platform::json_reader::parse(list, 6 * platform::container_weight + 4).ok());
@@ -270,4 +273,26 @@
     CHECK(job.status().message() == "the job has 1001 steps; the allowed range is 1 to 1000");
 }
 
+TEST_CASE("a string of many escapes is measured in one pass")
+{
+    std::string text = "[\"";
+    for (int count = 0; count < 2'000'000; ++count)
+    {
+        text += "\\n";
+    }
+    const core::instant start = core::boot_clock::now();
+    CHECK(platform::measure_json(text + "\"]").values == platform::container_weight + 1);
+    CHECK(core::boot_clock::now() - start < milliseconds{1000});
+}
+
+TEST_CASE("a field that an object has twice is an error, not one of its values")
+{
+    auto object = platform::json_reader::parse(R"({"a":1,"a":2,"b":3})");
+    REQUIRE(object.ok());
+    CHECK(object->get_integer("b") == 3);
+    CHECK(object->status().ok());
+    static_cast<void>(object->get_integer("a"));
+    CHECK_FALSE(object->status().ok());
+}
+
 } // namespace
--- a/tests/mirrored_table_test.cpp
+++ b/tests/mirrored_table_test.cpp
@@ -76,7 +76,7 @@
     std::vector<ports::revision> seen;
     site::mirrored_table rows{loop,
                               service,
-                              {"op", ""},
+                              {"op", "", milliseconds{2000}, "test", nullptr},
                               [this](const ports::row& row) { this->seen.push_back(row.version); },
                               [] {}};
 };
