--- a/review/standin2/abandoned_submission.cpp
+++ b/review/standin2/abandoned_submission.cpp
@@ -79,9 +79,9 @@
     return count;
 }
 
-int run(const std::string& folder)
+int run(const std::string& record_path)
 {
-    deployment site(folder, {});
+    deployment site(record_path, {});
     if (!warm_up(site))
     {
         return could_not_run;
--- a/review/standin2/deployment.cpp
+++ b/review/standin2/deployment.cpp
@@ -36,8 +36,8 @@
 
 } // namespace
 
-deployment::deployment(const std::string& folder, const deployment_size& size)
-    : temporary(fresh_folder()), output(folder + "/record.txt", std::ios::trunc)
+deployment::deployment(const std::string& record_path, const deployment_size& size)
+    : temporary(fresh_folder()), output(record_path, std::ios::trunc)
 {
     const std::string table_address = testing::free_address();
     const std::string store_address = testing::free_address();
--- a/review/standin2/deployment.hpp
+++ b/review/standin2/deployment.hpp
@@ -41,8 +41,8 @@
 class deployment
 {
 public:
-    /// @param folder folder of the case, which gets record.txt.
-    deployment(const std::string& folder, const deployment_size& size);
+    /// @param record_path file that gets what happens: the case's record.txt.
+    deployment(const std::string& record_path, const deployment_size& size);
     ~deployment();
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
--- a/review/standin2/long_orders.cpp
+++ b/review/standin2/long_orders.cpp
@@ -11,9 +11,9 @@
 constexpr int units = 3000;
 constexpr int small_jobs = 30;
 
-int run(const std::string& folder)
+int run(const std::string& record_path)
 {
-    deployment site(folder, {});
+    deployment site(record_path, {});
     if (!warm_up(site))
     {
         return could_not_run;
--- a/review/standin2/long_row.cpp
+++ b/review/standin2/long_row.cpp
@@ -10,9 +10,9 @@
 constexpr int units = 40'000;
 constexpr int small_jobs = 20;
 
-int run(const std::string& folder)
+int run(const std::string& record_path)
 {
-    deployment site(folder, {});
+    deployment site(record_path, {});
     if (!warm_up(site))
     {
         return could_not_run;
--- a/review/standin2/lost_majority.cpp
+++ b/review/standin2/lost_majority.cpp
@@ -45,9 +45,9 @@
     site.record("the store answers again");
 }
 
-int run(const std::string& folder)
+int run(const std::string& record_path)
 {
-    deployment site(folder, {.workers = worker_count});
+    deployment site(record_path, {.workers = worker_count});
     if (!warm_up(site))
     {
         return could_not_run;
--- a/review/standin2/wide_graph.cpp
+++ b/review/standin2/wide_graph.cpp
@@ -33,9 +33,9 @@
     return R"({"spec":"300","steps":[)" + steps + "]}";
 }
 
-int run(const std::string& folder)
+int run(const std::string& record_path)
 {
-    deployment site(folder, {});
+    deployment site(record_path, {});
     if (!warm_up(site))
     {
         return could_not_run;
