Let a store that answers again end a leader's store outage

Entries accepted jobs with 200 and none of them ever started, beside idle workers.

Cause: a state that only an action ends which that state forbids. A write that failed for 0.5 s made the leader demand a quorum of agents (`may_issue_orders()`). Only a progress write that succeeded ended that state, progress was written only under `may_schedule()`, and that asks `may_issue_orders()`. With half of the members gone there is no quorum, so the write was never sent. `trim()`, which drops members, waited on the same gate, and the leader's process told every probe that the leader is heard.

Evidence: `scheduling_held` "no store and no quorum" without a `scheduling_resumed`, while the leader's reads succeeded again.

Why it works: reads that show the leader's row unchanged prove that no later leader was elected, and each write is conditional on that row, so neither needs a quorum. What still needs one is what a leader does without the store. Besides: - A leader with nothing to write checks with a write without effect whether the store takes writes. - The result of a trim counts, too, and a trim does not wait for another write's success. - A leader that has had neither store nor quorum for longer than an election does not answer probes as one that is heard. - A member whose store was out as well leaves a silent leader the same second of grace as one that it hears: without a quorum a leader sends no heartbeats, and was replaced at the store's return. Not if the leader is known to be lost. - Work is started unpersisted only with a quorum, as before.

--- a/src/batch/election.cpp
+++ b/src/batch/election.cpp
@@ -57,7 +57,8 @@
 
 bool election::on_store_reachable(core::instant now)
 {
-    if (!this->local_store_outage || !this->hears_leader(now))
+    // A leader that had neither the store nor most members sends no heartbeats, but goes on.
+    if (!this->local_store_outage || this->leader_lost)
     {
         return true;
     }
--- a/src/site/agent_leadership.cpp
+++ b/src/site/agent_leadership.cpp
@@ -263,7 +263,7 @@
         wire::batch_probe& answer = *reply.mutable_lead_probe();
         answer.set_answer(true);
         answer.set_epoch(this->epoch);
-        const bool leads = this->own_leader != nullptr;
+        const bool leads = this->own_leader != nullptr && !this->own_leader->is_powerless(now);
         answer.set_lead_heard(
             leads || this->epoch > probe.epoch() ||
             (this->epoch == probe.epoch() && this->epoch != 0 && this->election.hears_leader(now)));
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -83,7 +83,7 @@
       scheduler(scheduler_settings_from(this->context.values, epoch), core::boot_clock::now()),
       guard(core::boot_clock::now(), lease_timeout(this->context.values)),
       evacuations(this->context.values.evacuation_limit), began(core::boot_clock::now()),
-      last_tick(this->began), active_at(this->began)
+      last_tick(this->began), active_at(this->began), able_at(this->began)
 {
     this->guard.await_members();
     this->confirmation.await_members();
@@ -530,11 +530,16 @@
         // other leader can have been elected.
         this->leadership_verified = true;
     }
+    if (this->may_issue_orders())
+    {
+        this->able_at = now;
+    }
     if (this->loaded)
     {
         this->send_due_commands();
         this->schedule_pass();
         this->trim();
+        this->check_writable();
     }
     this->last_tick = core::boot_clock::now();
     this->tick_due = this->last_tick + tick_interval;
@@ -613,6 +618,12 @@
     return this->member_rows->is_loaded() && responsive * 2 > this->agents.size();
 }
 
+bool leader::is_confirmed_by_store(core::instant now) const
+{
+    return now - this->confirmation.store_confirmed() <
+           batch::pacing_for(this->agents.size()).election_timeout;
+}
+
 bool leader::may_issue_orders() const
 {
     if (this->stepped_down || !this->leadership_verified)
@@ -620,7 +631,17 @@
         return false;
     }
     // Without the store, another leader may have been elected; a quorum of agents then follows it.
-    return !this->store_health.not_writable || this->has_quorum(core::boot_clock::now());
+    // Failed writes alone do not matter while the store still shows this leader's row: only a write
+    // that succeeds ends that state, and it needs no quorum.
+    const core::instant now = core::boot_clock::now();
+    return !this->store_health.not_writable || this->is_confirmed_by_store(now) ||
+           this->has_quorum(now);
+}
+
+bool leader::is_powerless(core::instant now) const
+{
+    return !this->may_issue_orders() &&
+           now - this->able_at > batch::pacing_for(this->agents.size()).election_timeout;
 }
 
 bool leader::may_schedule() const
@@ -631,7 +652,8 @@
 
 bool leader::may_start_unpersisted() const
 {
-    return this->store_health.not_writable && this->guard.may_start_unpersisted();
+    return this->store_health.not_writable && this->guard.may_start_unpersisted() &&
+           this->has_quorum(core::boot_clock::now());
 }
 
 void leader::resign()
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -86,6 +86,9 @@
     void resign();
 
     [[nodiscard]] std::uint64_t epoch() const noexcept { return this->my_epoch; }
+    /// @return whether this leader has had neither the store nor a quorum of agents for longer than
+    ///         an election takes.
+    [[nodiscard]] bool is_powerless(core::instant now) const;
 
 private:
     struct agent_state
@@ -129,6 +132,10 @@
     /// Adds the members that the agent asks before it campaigns.
     void add_probe_targets(const std::string& agent, wire::batch_orders& orders) const;
     void write_progress();
+    /// Sends a write without effect, so that a store that takes writes again is noticed although
+    /// this leader has nothing to write.
+    void check_writable();
+    void note_write(ports::commit_state result, const std::string& message);
     void on_progress_commit(const std::map<core::job_id, std::uint64_t>& changes,
                             const ports::commit_outcome& outcome);
     void apply_conflicting_rows(const std::vector<ports::row>& present);
@@ -163,6 +170,8 @@
     /// @return whether runs may start before their agents are persisted.
     [[nodiscard]] bool may_start_unpersisted() const;
     [[nodiscard]] bool has_quorum(core::instant now) const;
+    /// @return whether the store has lately confirmed that no later leader has been elected.
+    [[nodiscard]] bool is_confirmed_by_store(core::instant now) const;
 
     /// What the last `evacuation_state` line of a zone said.
     struct evacuation_line
@@ -204,6 +213,8 @@
     core::instant resumed_at{};
     core::instant next_lazy_write{};
     core::instant write_failing_since{};
+    /// When this leader was last able to issue orders, as its tick saw it.
+    core::instant able_at;
     batch::pass_pacing passes;
     core::instant next_trim{};
     core::instant next_load_line{};
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -19,6 +19,9 @@
 constexpr core::milliseconds write_timeout{800};
 // Progress that finishes no job is batched over this interval.
 constexpr core::milliseconds lazy_write_interval{200};
+constexpr core::milliseconds writable_check_interval{400};
+// No such row exists.
+constexpr const char* writable_check_key = "writable-check";
 constexpr std::size_t max_jobs_per_write = 30;
 // A call holds 1 MB, in which rows take a third more, besides their keys and versions. A row holds
 // 64 KB.
@@ -262,16 +265,60 @@
                                });
 }
 
+void leader::note_write(ports::commit_state result, const std::string& message)
+{
+    if (result == ports::commit_state::applied || result == ports::commit_state::conflict)
+    {
+        this->write_failing_since = {};
+        return;
+    }
+    if (this->write_failing_since == core::instant{})
+    {
+        this->write_failing_since = core::boot_clock::now();
+    }
+    events::write("order_lost", {{"to", "store"}, {"reason", message}});
+}
+
+void leader::check_writable()
+{
+    const core::instant now = core::boot_clock::now();
+    if (!this->store_health.not_writable || this->store_health.unreachable ||
+        this->write_in_flight || now < this->next_lazy_write)
+    {
+        return;
+    }
+    this->next_lazy_write = now + writable_check_interval;
+    ports::transaction check;
+    check.conditions.push_back({leader_row_id(), this->row_version});
+    check.removals.push_back({leader_table, site_partition, writable_check_key});
+    this->write_in_flight = true;
+    const std::weak_ptr<bool> alive = this->lifetime_token;
+    this->context.store.commit(check, write_timeout,
+                               [this, alive](const ports::commit_outcome& outcome)
+                               {
+                                   if (alive.expired())
+                                   {
+                                       return;
+                                   }
+                                   this->write_in_flight = false;
+                                   this->note_write(outcome.state, outcome.message);
+                                   if (outcome.state == ports::commit_state::conflict)
+                                   {
+                                       this->apply_conflicting_rows(outcome.conflicting_rows);
+                                   }
+                               });
+}
+
 void leader::on_progress_commit(const std::map<core::job_id, std::uint64_t>& changes,
                                 const ports::commit_outcome& outcome)
 {
     const core::instant now = core::boot_clock::now();
     ++this->work.writes;
     this->work.max_write_time = std::max(this->work.max_write_time, now - this->write_sent_at);
+    this->note_write(outcome.state, outcome.message);
     switch (outcome.state)
     {
     case ports::commit_state::applied:
-        this->write_failing_since = {};
         for (const auto& [job, change] : changes)
         {
             this->job_rows->note_written(job_row_id(job, job_row_kind::progress).key,
@@ -283,16 +330,10 @@
                                            {"epoch", this->my_epoch}});
         break;
     case ports::commit_state::conflict:
-        this->write_failing_since = {};
         this->apply_conflicting_rows(outcome.conflicting_rows);
         break;
     case ports::commit_state::not_applied:
     case ports::commit_state::unknown:
-        if (this->write_failing_since == core::instant{})
-        {
-            this->write_failing_since = now;
-        }
-        events::write("order_lost", {{"to", "store"}, {"reason", outcome.message}});
         break;
     }
     this->detect_process_pause();
@@ -334,7 +375,7 @@
 void leader::trim()
 {
     const core::instant now = core::boot_clock::now();
-    if (now < this->next_trim || this->trim_in_flight || this->store_health.not_writable ||
+    if (now < this->next_trim || this->trim_in_flight || this->store_health.unreachable ||
         !this->may_issue_orders())
     {
         return;
@@ -387,6 +428,7 @@
                                        return;
                                    }
                                    this->trim_in_flight = false;
+                                   this->note_write(outcome.state, outcome.message);
                                    if (outcome.state == ports::commit_state::applied)
                                    {
                                        events::write("jobs_trimmed",
