Let guaranteed work reclaim room from urgent work beyond its guarantee

Cause: preemption considered only runs of a higher priority number, also for guaranteed groups. Room that "belongs to the organisation at all times" was out of reach once urgent work of others held it.

Why this way: urgent runs are stopped last, if nothing less urgent makes room, and only after the group has waited for 1 s, since most end by themselves by then.

--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -208,9 +208,20 @@
     [[nodiscard]] std::vector<candidate_worker>
     candidate_workers(const placement_group& group, const resources_by_worker& available,
                       core::instant now) const;
-    /// @param spare_ending leaves out runs that end soon; see ends_soon().
-    /// @return the runs that work of the priority may preempt. Valid until a run starts or stops.
-    [[nodiscard]] const victim_pool& preemption_candidates(std::int64_t priority, bool spare_ending,
+    /// Selects the runs that a group may preempt.
+    struct victim_filter
+    {
+        /// The group's priority. Runs of a higher number may be preempted.
+        std::int64_t priority{};
+        /// Leaves out runs that end soon; see ends_soon().
+        bool spare_ending = false;
+        /// Includes urgent runs of organisations that use more than they are guaranteed.
+        bool beyond_guarantee = false;
+
+        friend bool operator==(const victim_filter&, const victim_filter&) = default;
+    };
+    /// @return the runs that may be preempted. Valid until a run starts or stops.
+    [[nodiscard]] const victim_pool& preemption_candidates(const victim_filter& filter,
                                                            core::instant now);
     /// @return core-seconds of work that stopping the run would lose.
     [[nodiscard]] double preemption_cost(const run_state& run, const step_spec& step,
@@ -355,8 +366,8 @@
     std::map<std::size_t, backfill_reservation> backfill_reservations;
     std::set<core::service_id> services_with_spare;
     std::map<unit_key, preemption_reservation> preemption_reservations;
-    /// Result of preemption_candidates() in this pass, with its arguments.
-    std::optional<std::pair<std::pair<std::int64_t, bool>, victim_pool>> victims;
+    /// Result of preemption_candidates() in this pass, with its filter.
+    std::optional<std::pair<victim_filter, victim_pool>> victims;
     /// When the last run of each worker is expected to end, by worker_state::index.
     std::vector<core::instant> busy_until;
     std::map<core::service_id, whole_worker_demand> whole_demand;
--- a/src/batch/scheduler_preemption.cpp
+++ b/src/batch/scheduler_preemption.cpp
@@ -10,6 +10,15 @@
 namespace chicorylift::batch
 {
 
+namespace
+{
+
+// Urgent runs of others are stopped only if none ends by itself meanwhile. A stop, its report and
+// the start must fit into the rest of the time within which guaranteed work starts.
+constexpr core::milliseconds min_wait_for_urgent_room{1000};
+
+} // namespace
+
 unit_key reservation_key(const placement_group& group)
 {
     return {group.job->spec.id, group.occurrence, group.step, group.units.front()};
@@ -91,12 +100,11 @@
     return work_core_seconds(step, run.members.size(), lost);
 }
 
-const victim_pool& site_scheduler::implementation::preemption_candidates(std::int64_t priority,
-                                                                         bool spare_ending,
-                                                                         core::instant now)
+const victim_pool&
+site_scheduler::implementation::preemption_candidates(const victim_filter& filter,
+                                                      core::instant now)
 {
-    const std::pair arguments(priority, spare_ending);
-    if (this->victims.has_value() && this->victims->first == arguments)
+    if (this->victims.has_value() && this->victims->first == filter)
     {
         return this->victims->second;
     }
@@ -104,8 +112,13 @@
     for (const auto& [number, run] : this->runs)
     {
         const auto job = this->jobs.find(run.job);
-        if (run.stopping || job == this->jobs.end() || job->second.policy.priority <= priority ||
-            (spare_ending && this->ends_soon(run, now)))
+        if (run.stopping || job == this->jobs.end() ||
+            (filter.spare_ending && this->ends_soon(run, now)))
+        {
+            continue;
+        }
+        const bool is_less_urgent = job->second.policy.priority > filter.priority;
+        if (!is_less_urgent && !(filter.beyond_guarantee && !this->is_guaranteed(job->second)))
         {
             continue;
         }
@@ -122,7 +135,7 @@
         }
         found.push_back(std::move(candidate));
     }
-    this->victims.emplace(arguments, std::move(found));
+    this->victims.emplace(filter, std::move(found));
     return this->victims->second;
 }
 
@@ -155,7 +168,8 @@
     const double max_cost =
         group.guaranteed ? std::numeric_limits<double>::infinity()
                          : weights.preemption_cost_base + gain * weights.preemption_cost_factor;
-    const auto plan_with = [&](placement_constraints rules, bool spare_ending)
+    const auto plan_with =
+        [&](placement_constraints rules, bool spare_ending, bool beyond_guarantee = false)
     {
         std::vector<candidate_worker> workers =
             this->candidate_workers(group, this->available_after_stops(available), now);
@@ -163,8 +177,9 @@
         this->apply_reservations(group, workers, now);
         return plan_preemption(
             step, group.units, workers,
-            this->preemption_candidates(group.job->policy.priority, spare_ending, now), rules,
-            max_cost);
+            this->preemption_candidates(
+                {group.job->policy.priority, spare_ending, beyond_guarantee}, now),
+            rules, max_cost);
     };
     auto plan =
         plan_with(this->constraints_for(group, now), this->waits_for_ending_runs(group, now));
@@ -178,6 +193,10 @@
     {
         plan = plan_with({}, /*spare_ending=*/false);
     }
+    if (!plan.has_value() && group.guaranteed && now - group.idle_since >= min_wait_for_urgent_room)
+    {
+        plan = plan_with({}, /*spare_ending=*/false, /*beyond_guarantee=*/true);
+    }
     if (!plan.has_value())
     {
         return false;
