--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -109,6 +109,8 @@
     event_kind{"lead_load", 10,
                "what the leader's time went to and what waits for it, once a second"},
     event_kind{"lead_followed", 20, "this agent now follows the lead of another epoch"},
+    event_kind{"member_left", 20, "the leader found the row of an agent that leaves removed"},
+    event_kind{"member_unregistered", 20, "an agent that leaves removes its row, or could not"},
     event_kind{"dropped", 10, "number of lines of a kind dropped by its rate limit"},
     event_kind{"unlisted", 10, "a line whose kind is not in this list"},
 };
