Report until the member row of a leaving agent is removed

An agent that was asked to stop sent its last report at once and no more, so that the departure of its worker, or an end, in the time that it still had reached nobody; its leader then waits for the lease. It now goes on as before for the time that the last messages get, reports once more, and only then removes its row.

--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -22,7 +22,8 @@
 constexpr int max_waiting_per_peer = 1000;
 // Orders that start 1,000 units with the longest payload on one worker.
 constexpr std::int64_t max_agent_message_bytes = 4 << 20;
-// Time for the last report and the resignation messages to be sent before the process exits.
+// Time for the last report and the resignation messages, and then for the removal of the member
+// row, to be sent before the process exits.
 constexpr core::milliseconds shutdown_flush_time{150};
 
 batch::election_settings election_settings_for(const std::string& name)
@@ -121,10 +122,17 @@
     {
         this->send_report();
     }
-    // A leader that finds the row removed relies on this agent following no other any more.
-    this->reports_ended = true;
-    this->unregister_member();
-    this->loop.run_after(shutdown_flush_time, std::move(finished));
+    // The worker may leave, and runs may end, until then.
+    this->loop.run_after(shutdown_flush_time,
+                         [this, finished = std::move(finished)]() mutable
+                         {
+                             this->send_report();
+                             // A leader that finds the row removed relies on this agent following
+                             // no other any more.
+                             this->reports_ended = true;
+                             this->unregister_member();
+                             this->loop.run_after(shutdown_flush_time, std::move(finished));
+                         });
 }
 
 } // namespace chicorylift::site
