Back the answer to a cancelling of an unknown job by a row

Two organisations with one ID: the second POST was answered 200, and its job never stored.

Cause: a negative answer that no write backs. `entry::cancel()` read the job's rows, found none and answered; a submission that was on its way had the absence of the accepted row as its only condition. And a job was known by its ID alone.

Why it works: the cancelling writes a row on condition that no job is stored, the submission is stored on condition that the row is absent, and the store performs one of them first. The row is keyed by job and organisation. It stands for the retention period and is removed by the leader; withdrawal_quota bounds how many a caller can make. A cancelling whose write has no answer is answered 504. A repetition of the submission gets 429, an ID that another queue or organisation uses 409 (docs/API.md).

--- a/src/ports/client_api.hpp
+++ b/src/ports/client_api.hpp
@@ -14,6 +14,10 @@
     unavailable,
     /// Rejected because too much work is queued; the request has no effect.
     overloaded,
+    /// The job was cancelled before it was accepted. It does not run, now or later.
+    withdrawn,
+    /// A job of another queue or organisation has the ID; the request has no effect.
+    id_in_use,
     /// The request may or may not take effect.
     unknown_outcome,
 };
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -2,6 +2,7 @@
 
 #include "chicorylift/batch/site_config.hpp"
 #include "chicorylift/batch/submission_admission.hpp"
+#include "chicorylift/batch/withdrawal_quota.hpp"
 #include "net/async_http_server.hpp"
 #include "net/event_loop.hpp"
 #include "ports/client_api.hpp"
@@ -66,6 +67,9 @@
     void send_waiting_submissions();
     void on_submission(const std::shared_ptr<submission>& pending,
                        const ports::commit_outcome& outcome);
+    void on_submission_conflict(const submission& pending, const std::vector<ports::row>& rows);
+    /// Answers a submission whose ID a stored job has: the same job, or another one.
+    void respond_stored(const submission& pending, const cached_job& stored);
     void end_pending(const submission& pending);
     void respond_accepted(const submission& pending);
     void respond_refused(const submission& pending, ports::client_result answer,
@@ -73,11 +77,21 @@
     void show(const batch::resolved_request& call, const responder& respond);
     void cancel(const net::server_request& request, const batch::resolved_request& call,
                 const responder& respond);
+    // Cancellations (entry_cancellations.cpp).
+    /// Looks the job up and begins the write that its cancellation needs.
+    void decide_cancellation(const std::shared_ptr<cancellation>& pending);
+    void begin_cancellation(const std::shared_ptr<cancellation>& pending,
+                            const std::optional<cached_job>& job);
     void try_cancellation(const std::shared_ptr<cancellation>& pending);
     void on_cancellation(const std::shared_ptr<cancellation>& pending,
                          const ports::commit_outcome& outcome);
+    void respond_not_cancelled(const cancellation& pending, const std::string& reason);
+    /// Looks a job up in this entry's view, or in the store if it is not there.
     void read_job(const core::job_id& job, core::milliseconds timeout,
                   std::function<void(const absl::StatusOr<std::optional<cached_job>>&)> on_job);
+    void
+    read_stored_job(const core::job_id& job, core::milliseconds timeout,
+                    std::function<void(const absl::StatusOr<std::optional<cached_job>>&)> on_job);
     void count_queued(const batch::resolved_request& call, const responder& respond);
     void tick();
     void check_ready();
@@ -114,6 +128,7 @@
     std::size_t refusal_reads{};
     batch::event_rate submissions_written;
     batch::retry_schedule retry_times;
+    batch::withdrawal_quota withdrawals;
     bool draining = false;
     bool was_ready = false;
     bool store_unavailable = false;
--- a/src/site/entry_calls.cpp
+++ b/src/site/entry_calls.cpp
@@ -1,6 +1,7 @@
 #include "chicorylift/core/error.hpp"
 #include "platform/http_codec.hpp"
 #include "site/entry.hpp"
+#include "site/entry_timing.hpp"
 #include "site/row_codec.hpp"
 #include "support/events.hpp"
 #include "support/unix_clock.hpp"
@@ -8,7 +9,7 @@
 #include <algorithm>
 #include <tuple>
 
-/// Request handlers of the entry: submit, show, cancel and queue length.
+/// Request handlers of the entry: submit, show and queue length.
 namespace chicorylift::site
 {
 
@@ -20,13 +21,8 @@
 
 // A slow but reachable store answers a watch within this time.
 constexpr core::milliseconds store_doubt_threshold{1000};
-constexpr core::milliseconds default_timeout{3000};
-// Part of the caller's timeout that is reserved for sending the response.
-constexpr core::milliseconds response_margin{150};
-constexpr core::milliseconds commit_timeout{800};
 // Longest time for which a refused write is retried before the caller gets an error.
 constexpr core::milliseconds refused_write_timeout{700};
-constexpr core::milliseconds retry_delay{60};
 // With bounded submissions, this many of their writes are sent at a time. The store has 24
 // connections; the others stay free for status requests and cancellations.
 constexpr std::size_t max_submission_writes = 16;
@@ -49,17 +45,6 @@
     bool admitted = false;
 };
 
-/// Cancellation that is being written to the store.
-struct entry::cancellation
-{
-    core::job_id job;
-    ports::transaction changes;
-    responder respond;
-    core::instant started_at;
-    core::instant deadline;
-    bool may_be_stored = false;
-};
-
 void entry::submit(const net::server_request& request, const batch::resolved_request& call,
                    const std::string& key, const responder& respond)
 {
@@ -84,11 +69,12 @@
     pending->respond = respond;
     pending->started_at = core::boot_clock::now();
     pending->deadline = pending->started_at +
-                        platform::parse_timeout(request).value_or(default_timeout) -
+                        platform::parse_timeout(request).value_or(default_call_timeout) -
                         response_margin;
-    if (this->jobs.find(call.job) != nullptr)
+    const cached_job* const known = this->jobs.find(call.job);
+    if (known != nullptr)
     {
-        this->respond_accepted(*pending);
+        this->respond_stored(*pending, *known);
         return;
     }
     if (this->is_store_unavailable())
@@ -156,7 +142,7 @@
                        }
                        else if (job->has_value())
                        {
-                           this->respond_accepted(*pending);
+                           this->respond_stored(*pending, **job);
                        }
                        else
                        {
@@ -184,6 +170,8 @@
 {
     const ports::row_id row_id = job_row_id(pending->job.id, job_row_kind::accepted);
     pending->changes.conditions.push_back({row_id, 0});
+    pending->changes.conditions.push_back(
+        {withdrawal_row_id(pending->job.id, pending->job.organisation), 0});
     pending->changes.writes.push_back({row_id, to_row(pending->job).SerializeAsString()});
     if (this->time_since_store_answer() > store_doubt_threshold)
     {
@@ -258,15 +246,17 @@
                           const ports::commit_outcome& outcome)
 {
     const core::instant now = core::boot_clock::now();
-    if (outcome.state == ports::commit_state::applied ||
-        outcome.state == ports::commit_state::conflict)
+    if (outcome.state == ports::commit_state::applied)
     {
-        // A conflict means that the row exists: the job was stored by an earlier attempt or another
-        // entry.
         this->submissions_written.record(now);
         this->respond_accepted(*pending);
         return;
     }
+    if (outcome.state == ports::commit_state::conflict)
+    {
+        this->on_submission_conflict(*pending, outcome.conflicting_rows);
+        return;
+    }
     if (outcome.state == ports::commit_state::unknown)
     {
         // The retry repeats the same conditional write, which takes effect at most once.
@@ -277,7 +267,7 @@
         pending->may_be_stored
             ? pending->deadline
             : std::min(pending->deadline, pending->started_at + refused_write_timeout);
-    if (now + retry_delay >= deadline)
+    if (now + write_retry_delay >= deadline)
     {
         this->respond_refused(*pending,
                               pending->may_be_stored ? client_result::unknown_outcome
@@ -285,7 +275,50 @@
                               outcome.message);
         return;
     }
-    this->loop.run_after(retry_delay, [this, pending] { this->try_submission(pending); });
+    this->loop.run_after(write_retry_delay, [this, pending] { this->try_submission(pending); });
+}
+
+void entry::on_submission_conflict(const submission& pending, const std::vector<ports::row>& rows)
+{
+    job_view view;
+    bool withdrawn = false;
+    for (const ports::row& row : rows)
+    {
+        if (row.id.table == withdrawal_table)
+        {
+            withdrawn = true;
+            continue;
+        }
+        view.apply(row, core::boot_clock::now());
+    }
+    const cached_job* const stored = view.find(pending.job.id);
+    if (stored != nullptr)
+    {
+        // Stored by an earlier attempt or another entry.
+        this->submissions_written.record(core::boot_clock::now());
+        this->respond_stored(pending, *stored);
+    }
+    else if (withdrawn)
+    {
+        this->respond_refused(pending, client_result::withdrawn,
+                              "the job was cancelled before it was accepted");
+    }
+    else
+    {
+        this->respond_refused(pending, client_result::unknown_outcome,
+                              "the row of the job is not a valid job");
+    }
+}
+
+void entry::respond_stored(const submission& pending, const cached_job& stored)
+{
+    if (stored.organisation == pending.job.organisation && stored.queue == pending.job.policy.queue)
+    {
+        this->respond_accepted(pending);
+        return;
+    }
+    this->respond_refused(pending, client_result::id_in_use,
+                          "another queue or organisation has a job of this ID");
 }
 
 void entry::end_pending(const submission& pending)
@@ -345,7 +378,10 @@
                    {"tries", static_cast<std::int64_t>(pending.attempts)},
                    {"config_age_ms", this->config_age().count()}});
     this->metrics.increment("jobs", unknown ? "unsettled" : "refused");
-    net::server_response response = platform::answer_response(answer, reason, this->retry_after());
+    const core::milliseconds retry_after = answer == client_result::withdrawn
+                                               ? ended_job_retention(this->values)
+                                               : this->retry_after();
+    net::server_response response = platform::answer_response(answer, reason, retry_after);
     response.close_connection = this->time_since_store_answer() > store_doubt_threshold;
     pending.respond(response);
 }
@@ -359,6 +395,13 @@
         on_job(std::optional(*known));
         return;
     }
+    this->read_stored_job(job, timeout, std::move(on_job));
+}
+
+void entry::read_stored_job(
+    const core::job_id& job, core::milliseconds timeout,
+    std::function<void(const absl::StatusOr<std::optional<cached_job>>&)> on_job)
+{
     constexpr std::size_t rows_per_job = 3;
     this->store->read(job_table, site_partition, job.str(), rows_per_job, timeout,
                       [job, on_job = std::move(on_job)](const absl::StatusOr<ports::row_page>& page)
@@ -421,83 +464,4 @@
     respond(platform::pending_response(this->jobs.queued_count(call.route.policy.queue)));
 }
 
-void entry::cancel(const net::server_request& request, const batch::resolved_request& call,
-                   const responder& respond)
-{
-    auto pending = std::make_shared<cancellation>();
-    pending->job = call.job;
-    pending->respond = respond;
-    pending->started_at = core::boot_clock::now();
-    pending->deadline = pending->started_at +
-                        platform::parse_timeout(request).value_or(default_timeout) -
-                        response_margin;
-    this->read_job(
-        call.job, commit_timeout,
-        [this, pending, call](const absl::StatusOr<std::optional<cached_job>>& job)
-        {
-            if (!job.ok())
-            {
-                pending->respond(platform::answer_response(
-                    client_result::unavailable, "the store does not answer", this->retry_after()));
-                return;
-            }
-            if (!job->has_value() || (*job)->organisation != call.organisation)
-            {
-                pending->respond(
-                    platform::answer_response(client_result::not_found, "no such job", {}));
-                return;
-            }
-            if ((*job)->cancelled || (*job)->completed || (*job)->failed)
-            {
-                pending->respond(platform::answer_response(client_result::cancelled, {}, {}));
-                return;
-            }
-            wire::batch_cancel row;
-            row.set_entry(this->values.name);
-            row.set_cancelled_ms(support::unix_now().count());
-            pending->changes.conditions.push_back(
-                {job_row_id(pending->job, job_row_kind::accepted), (*job)->accepted_version});
-            pending->changes.writes.push_back(
-                {job_row_id(pending->job, job_row_kind::cancel), row.SerializeAsString()});
-            this->try_cancellation(pending);
-        });
-}
-
-void entry::try_cancellation(const std::shared_ptr<cancellation>& pending)
-{
-    const core::milliseconds left = pending->deadline - core::boot_clock::now();
-    this->store->commit(pending->changes, std::min(commit_timeout, left),
-                        [this, pending](const ports::commit_outcome& outcome)
-                        { this->on_cancellation(pending, outcome); });
-}
-
-void entry::on_cancellation(const std::shared_ptr<cancellation>& pending,
-                            const ports::commit_outcome& outcome)
-{
-    if (outcome.state == ports::commit_state::applied)
-    {
-        events::write("job_cancel_accepted",
-                      {{"job", pending->job.str()},
-                       {"took_ms", (core::boot_clock::now() - pending->started_at).count()}});
-        this->metrics.increment("jobs", "cancelled");
-        pending->respond(platform::answer_response(client_result::cancelled, {}, {}));
-        return;
-    }
-    if (outcome.state == ports::commit_state::conflict)
-    {
-        pending->respond(platform::answer_response(client_result::not_found, "no such job", {}));
-        return;
-    }
-    pending->may_be_stored =
-        pending->may_be_stored || outcome.state == ports::commit_state::unknown;
-    if (core::boot_clock::now() + retry_delay >= pending->deadline)
-    {
-        pending->respond(platform::answer_response(
-            pending->may_be_stored ? client_result::unknown_outcome : client_result::unavailable,
-            outcome.message, this->retry_after()));
-        return;
-    }
-    this->loop.run_after(retry_delay, [this, pending] { this->try_cancellation(pending); });
-}
-
 } // namespace chicorylift::site
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -105,6 +105,8 @@
         mirror_settings{job_table, site_partition, job_wait, "lead", &this->context.metrics},
         [this](const ports::row& row) { this->on_job_row(row); },
         [this] { this->load_jobs_if_ready(); });
+    this->withdrawals = std::make_unique<withdrawal_trimmer>(
+        this->context.loop, this->context.store, this->context.metrics, this->context.values);
     this->leader_rows = std::make_unique<mirrored_table>(
         this->context.loop, this->context.store,
         mirror_settings{leader_table, site_partition, leader_wait, "lead", &this->context.metrics},
@@ -553,6 +555,7 @@
         this->send_due_commands();
         this->schedule_pass();
         this->trim();
+        this->trim_withdrawals();
         this->check_writable();
     }
     this->last_tick = core::boot_clock::now();
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -15,6 +15,7 @@
 #include "site/message_inbox.hpp"
 #include "site/mirrored_table.hpp"
 #include "site/settings.hpp"
+#include "site/withdrawal_trimmer.hpp"
 #include "support/metrics.hpp"
 #include "wire/wire.pb.h"
 
@@ -146,6 +147,9 @@
     /// Removes the rows of jobs that ended before the retention period, and of agents that have not
     /// reported for ten minutes.
     void trim();
+    /// Removes the rows of jobs that were cancelled before they were stored, after the retention
+    /// period.
+    void trim_withdrawals();
     // Evacuations (leader_evacuations.cpp).
     void on_evacuation_row(const ports::row& row);
     void on_evacuation_removed(const core::zone_id& zone, const ports::row& row, core::instant now);
@@ -232,6 +236,7 @@
     core::instant held_since{};
     net::transport_counters logged_totals;
     bool trim_in_flight = false;
+    bool withdrawal_trim_in_flight = false;
     /// Time at which this leader first found each job removable.
     std::map<core::job_id, core::instant> ended_since;
     std::shared_ptr<bool> lifetime_token = std::make_shared<bool>(true);
@@ -239,6 +244,7 @@
     std::unique_ptr<mirrored_table> job_rows;
     std::unique_ptr<mirrored_table> leader_rows;
     std::unique_ptr<mirrored_table> member_rows;
+    std::unique_ptr<withdrawal_trimmer> withdrawals;
 };
 
 /// @return duration of the lease that one reply of the leader grants.
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -27,8 +27,6 @@
 // 64 KB.
 constexpr std::size_t max_progress_bytes_per_write = 600'000;
 constexpr core::milliseconds trim_interval = std::chrono::seconds{5};
-// A client may repeat a request for a job this long after the configured retention.
-constexpr core::milliseconds retention_margin = std::chrono::seconds{2};
 // An agent that has not reported for this long is assumed to be removed, not restarting.
 constexpr core::milliseconds agent_removal_timeout = std::chrono::minutes{10};
 
@@ -371,7 +369,7 @@
             continue;
         }
         const auto key = parse_job_row_key(row.id.key);
-        if (!key.has_value() || row.version == 0)
+        if (row.id.table != job_table || !key.has_value() || row.version == 0)
         {
             continue;
         }
@@ -397,8 +395,7 @@
         return;
     }
     this->next_trim = now + trim_interval;
-    const core::milliseconds retention =
-        core::seconds{this->context.values.keep_ended_s} + retention_margin;
+    const core::milliseconds retention = ended_job_retention(this->context.values);
     ports::transaction changes;
     changes.conditions.push_back({leader_row_id(), this->row_version});
     std::size_t jobs = 0;
@@ -461,4 +458,42 @@
                                });
 }
 
+void leader::trim_withdrawals()
+{
+    if (this->withdrawal_trim_in_flight || this->store_health.not_writable ||
+        !this->may_issue_orders())
+    {
+        return;
+    }
+    ports::transaction changes;
+    changes.conditions.push_back({leader_row_id(), this->row_version});
+    const std::size_t rows = this->withdrawals->add_expired(core::boot_clock::now(), changes);
+    if (rows == 0)
+    {
+        return;
+    }
+    this->withdrawal_trim_in_flight = true;
+    const std::weak_ptr<bool> alive = this->lifetime_token;
+    this->context.store.commit(changes, write_timeout,
+                               [this, alive, rows](const ports::commit_outcome& outcome)
+                               {
+                                   if (alive.expired())
+                                   {
+                                       return;
+                                   }
+                                   this->withdrawal_trim_in_flight = false;
+                                   this->note_write(outcome.state, outcome.message);
+                                   if (outcome.state == ports::commit_state::applied)
+                                   {
+                                       events::write("withdrawals_trimmed",
+                                                     {{"rows", static_cast<std::uint64_t>(rows)},
+                                                      {"row_version", outcome.version}});
+                                   }
+                                   else if (outcome.state == ports::commit_state::conflict)
+                                   {
+                                       this->apply_conflicting_rows(outcome.conflicting_rows);
+                                   }
+                               });
+}
+
 } // namespace chicorylift::site
--- a/src/site/row_codec.cpp
+++ b/src/site/row_codec.cpp
@@ -13,6 +13,22 @@
 constexpr std::string_view progress_suffix = "/progress";
 constexpr std::string_view cancel_suffix = "/cancel";
 
+// A key holds 200 bytes; a job's ID, a hash and separators take the rest.
+constexpr std::size_t max_organisation_bytes_in_key = 150;
+
+/// @return the 64-bit FNV-1a hash, which is the same on all machines.
+std::uint64_t fnv1a(std::string_view text)
+{
+    constexpr std::uint64_t offset = 14695981039346656037U;
+    constexpr std::uint64_t prime = 1099511628211U;
+    std::uint64_t hash = offset;
+    for (const unsigned char byte : text)
+    {
+        hash = (hash ^ byte) * prime;
+    }
+    return hash;
+}
+
 void fill(wire::batch_amount& row, const batch::resource_amount& amount)
 {
     row.set_millicores(amount.millicores);
@@ -145,6 +161,16 @@
     return {job_table, site_partition, job.str() + std::string(suffix)};
 }
 
+ports::row_id withdrawal_row_id(const core::job_id& job, const core::organisation_id& organisation)
+{
+    std::string name = organisation.str();
+    if (name.size() > max_organisation_bytes_in_key)
+    {
+        name = name.substr(0, max_organisation_bytes_in_key) + "~" + std::to_string(fnv1a(name));
+    }
+    return {withdrawal_table, site_partition, job.str() + "/" + name};
+}
+
 ports::row_id leader_row_id()
 {
     return {leader_table, site_partition, leader_key};
--- a/src/site/row_codec.hpp
+++ b/src/site/row_codec.hpp
@@ -17,6 +17,8 @@
 inline constexpr const char* job_table = "jobs";
 inline constexpr const char* leader_table = "lead";
 inline constexpr const char* member_table = "members";
+/// Cancellations of jobs that were not stored, by job and organisation.
+inline constexpr const char* withdrawal_table = "withdrawn";
 inline constexpr const char* site_partition = "site";
 inline constexpr const char* leader_key = "lead";
 
@@ -39,6 +41,9 @@
 };
 
 [[nodiscard]] ports::row_id job_row_id(const core::job_id& job, job_row_kind kind);
+/// @return the row whose existence keeps the organisation's job from being stored.
+[[nodiscard]] ports::row_id withdrawal_row_id(const core::job_id& job,
+                                              const core::organisation_id& organisation);
 [[nodiscard]] ports::row_id leader_row_id();
 [[nodiscard]] ports::row_id member_row_id(const batch::agent_id& agent);
 /// @return the parsed key, or nullopt if it is not the key of a job's row.
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -237,8 +237,16 @@
                                  false, "values"));
 }
 
+// A client may repeat a request for a job this long after the configured retention.
+constexpr core::milliseconds retention_margin = std::chrono::seconds{2};
+
 } // namespace
 
+core::milliseconds ended_job_retention(const settings& values) noexcept
+{
+    return core::seconds{values.keep_ended_s} + retention_margin;
+}
+
 absl::Status check_settings(const settings& values)
 {
     std::vector<absl::Status> checks;
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -74,6 +74,10 @@
     bool check_only = false;
 };
 
+/// @return time for which the rows of ended jobs, and of jobs cancelled before they were stored,
+///         stay.
+[[nodiscard]] core::milliseconds ended_job_retention(const settings& values) noexcept;
+
 /// Result of parsing the settings.
 struct parsed_settings
 {
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -111,6 +111,9 @@
     event_kind{"lead_followed", 20, "this agent now follows the lead of another epoch"},
     event_kind{"member_left", 20, "the leader found the row of an agent that leaves removed"},
     event_kind{"member_unregistered", 20, "an agent that leaves removes its row, or could not"},
+    event_kind{"job_withdrawn", 100, "the cancellation of a job that is not stored is stored"},
+    event_kind{"withdrawals_trimmed", 10,
+               "rows of cancelled jobs that were never stored are removed"},
     event_kind{"dropped", 10, "number of lines of a kind dropped by its rate limit"},
     event_kind{"unlisted", 10, "a line whose kind is not in this list"},
 };
