Bound a scheduling pass whatever jobs are accepted

Each leader stood still in its pass until it was replaced; the next one loaded the same job.

Cause: accepted work whose cost is a product of its sizes, on the loop that keeps the lease. A pass computed the job's critical path, a walk over all steps and dependencies, again for each unit that could run: 99,000 units times 40,400 steps and edges. On related paths: the end of each run looked at all units of its step, each good end at all steps of its job, each pass at all occurrences, and each unit took some 250 bytes from the moment its job was loaded.

Why this works: - What follows from a job's specification alone is computed once. - unit_table keeps a bit for a unit, and state only for units that have run. - Done units and dependencies that are met are not looked at again. - A step adds no more groups to a pass than its service's workers could hold if empty, and one group that is not placed if they could hold none. - A pass looks at 8,192 steps and groups, and starts 1,024 runs; the next one goes on where it stopped. Urgent jobs come first and leave a quarter to the others, and each step that is ready has a group, so that no job or step waits behind another one's size.

--- a/benchmark/decisions.hpp
+++ b/benchmark/decisions.hpp
@@ -14,4 +14,7 @@
 /// @return the exit code.
 int run_load(int argument_count, char** arguments);
 
+/// Measures a leader's time and memory for large jobs; prints a table.
+int run_large_jobs();
+
 } // namespace chicorylift::benchmark
--- a/benchmark/main.cpp
+++ b/benchmark/main.cpp
@@ -20,7 +20,11 @@
     {
         return run_load(argument_count - 1, arguments + 1);
     }
+    if (what == "large-jobs")
+    {
+        return run_large_jobs();
+    }
     std::cerr << "bench: unknown measurement \"" << what
-              << "\"; allowed are decisions, cost, load\n";
+              << "\"; allowed are decisions, cost, load, large-jobs\n";
     return usage_error;
 }
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -27,12 +27,11 @@
         return;
     }
     step_state& step = get_or_create_occurrence(job, done.occurrence)[to_index(done.step)];
-    const auto mark = [&step](std::size_t index)
+    const auto mark = [&job, &step](std::size_t index)
     {
-        if (index < step.units.size() && !step.units[index].done)
+        if (index < step.units.size())
         {
-            step.units[index].done = true;
-            ++step.done;
+            mark_unit_done(job, step, index);
         }
     };
     for (const std::int64_t index : done.units)
@@ -52,7 +51,7 @@
         !job.spec.steps[to_index(failed.step)].long_running)
     {
         get_or_create_occurrence(job, failed.occurrence)[to_index(failed.step)]
-            .units[to_index(failed.unit)]
+            .units.touch(to_index(failed.unit))
             .failed.insert(failed.run);
     }
 }
@@ -62,7 +61,7 @@
     if (has_unit(job, {job.spec.id, saved.occurrence, saved.step, saved.unit}))
     {
         get_or_create_occurrence(job, saved.occurrence)[to_index(saved.step)]
-            .units[to_index(saved.unit)]
+            .units.touch(to_index(saved.unit))
             .checkpoint = saved.checkpoint;
     }
 }
@@ -70,10 +69,10 @@
 void append_checkpoints(const step_state& step, bool gang, unit_checkpoint entry,
                         std::vector<unit_checkpoint>& out)
 {
-    for (std::size_t index = 0; !step.is_done() && index < step.units.size(); ++index)
+    for (const auto& [index, unit] : step.units.touched())
     {
-        const unit_state& unit = step.units[index];
-        if (unit.done || unit.checkpoint.empty() || out.size() == max_persisted_checkpoints)
+        if (step.units.is_done(index) || unit.checkpoint.empty() ||
+            out.size() == max_persisted_checkpoints)
         {
             continue;
         }
@@ -91,13 +90,13 @@
 void append_completed(const step_state& step, completed_units entry,
                       std::vector<completed_units>& out)
 {
-    if (step.done == 0)
+    if (step.units.done_count() == 0)
     {
         return;
     }
     for (std::size_t index = 0; !step.is_done() && index < step.units.size(); ++index)
     {
-        if (step.units[index].done)
+        if (step.units.is_done(index))
         {
             entry.units.push_back(static_cast<std::int64_t>(index));
         }
@@ -141,6 +140,12 @@
     job.spec = std::move(spec);
     const auto queue = this->inner->queues.find(job.spec.policy.queue);
     job.policy = queue == this->inner->queues.end() ? job.spec.policy : queue->second;
+    job.critical_path = job.spec.critical_path();
+    job.initial_accelerators = job.spec.initial_accelerators();
+    for (const step_spec& step : job.spec.steps)
+    {
+        job.unit_count += step.units * job.spec.occurrence_count();
+    }
     job.arrived = now;
     job.origin = origin;
     job.accepted_version = accepted_version;
@@ -296,9 +301,9 @@
             append_completed(steps[number], {occurrence, step, {}}, progress.completed);
             append_checkpoints(steps[number], job.spec.steps[number].gang,
                                {occurrence, step, 0, {}}, progress.checkpoints);
-            for (std::size_t index = 0; index < steps[number].units.size(); ++index)
+            for (const auto& [index, unit] : steps[number].units.touched())
             {
-                for (const run_number run : steps[number].units[index].failed)
+                for (const run_number run : unit.failed)
                 {
                     progress.failed.push_back(
                         {occurrence, step, static_cast<std::int64_t>(index), run});
--- a/src/batch/scheduler_impl.hpp
+++ b/src/batch/scheduler_impl.hpp
@@ -83,7 +83,8 @@
     void mark_changed(job_state& job);
     /// Stores a unit's checkpoint unless it has the same or a newer one.
     /// @return whether the checkpoint was stored.
-    static bool update_checkpoint(unit_state& unit, const std::string& checkpoint);
+    static bool update_checkpoint(unit_table& units, std::size_t index,
+                                  const std::string& checkpoint);
 
     // Workers that may get work, evacuated zones (scheduler_eligibility.cpp).
     /// Why a worker gets no units of a step; the quarantine is weighed separately.
@@ -129,6 +130,33 @@
     void stop_incomplete_gangs(core::instant now);
     void create_due_occurrences(job_state& job, unix_time wall_time);
     std::vector<placement_group> ready_groups(core::instant now, unix_time wall_time);
+    /// Capacity of the workers of one service, whatever runs on them.
+    struct service_room
+    {
+        resource_amount total;
+        /// Of each resource, the most that any worker has.
+        resource_amount largest;
+
+        /// @return a bound on the units that fit, at most @p wanted.
+        [[nodiscard]] std::size_t most_units(const resource_amount& request,
+                                             std::size_t wanted) const noexcept;
+    };
+    [[nodiscard]] std::map<core::service_id, service_room> rooms_by_service() const;
+    /// Adds groups of the urgent or the other jobs, beginning with the job at which the last pass
+    /// stopped.
+    /// @param limit steps looked at and groups made after which the rest is left to the next pass.
+    /// @return the number of steps looked at and groups made.
+    std::size_t collect_jobs(bool urgent, std::size_t limit,
+                             const std::map<core::service_id, service_room>& rooms,
+                             std::vector<placement_group>& groups, core::instant now,
+                             unix_time wall_time);
+    /// @return the number of steps looked at and groups made.
+    std::size_t collect_groups(job_state& job, const service_room& room,
+                               std::vector<placement_group>& groups, core::instant now);
+    /// Adds a gang, or the first units that could run, at most @p limit.
+    void collect_step(job_state& job, std::int64_t occurrence, std::size_t number,
+                      const service_room& room, std::size_t limit,
+                      std::vector<placement_group>& groups, core::instant now);
     void compute_rank(placement_group& group, core::instant now) const;
     void place_groups(std::vector<placement_group>& groups, core::instant now);
 
@@ -373,6 +401,9 @@
     std::map<core::service_id, whole_worker_demand> whole_demand;
     core::instant demand_counted_at{};
     std::size_t pending_units{};
+    /// Jobs with which the next pass begins, if the last one left some out.
+    core::job_id next_urgent_job;
+    core::job_id next_other_job;
     std::size_t placement_attempts{};
     core::instant next_wait_check{};
     std::vector<decision_record> records;
--- a/src/batch/scheduler_order.cpp
+++ b/src/batch/scheduler_order.cpp
@@ -69,16 +69,17 @@
             start.first = std::max(start.first, ends[to_index(earlier)].first);
             start.second = std::max(start.second, ends[to_index(earlier)].second);
         }
-        const auto open = static_cast<std::int64_t>(state.units.size()) - state.done;
+        const auto open = static_cast<std::int64_t>(state.units.size() - state.units.done_count());
         ends[number].first = start.first + duration_of(step, step.units, capacity);
         ends[number].second =
             start.second + (open == 0 ? core::milliseconds{0} : duration_of(step, open, capacity));
         result.chain = std::max(result.chain, ends[number].first);
         result.remaining = std::max(result.remaining, ends[number].second);
-        const auto idle =
-            std::count_if(state.units.begin(), state.units.end(),
-                          [](const unit_state& unit) { return !unit.done && unit.run == 0; });
-        result.demand += static_cast<double>(idle) *
+        const auto running =
+            std::count_if(state.units.touched().begin(), state.units.touched().end(),
+                          [&state](const auto& unit)
+                          { return !state.units.is_done(unit.first) && unit.second.run != 0; });
+        result.demand += static_cast<double>(open - running) *
                          dominant_share(step.resource_request(), capacity) *
                          static_cast<double>(step.estimate.count()) / milliseconds_per_second;
         result.endless = result.endless || step.long_running;
@@ -93,7 +94,8 @@
                        [](const auto& occurrence)
                        {
                            return std::any_of(occurrence.second.begin(), occurrence.second.end(),
-                                              [](const step_state& step) { return step.done > 0; });
+                                              [](const step_state& step)
+                                              { return step.units.done_count() > 0; });
                        });
 }
 
@@ -146,7 +148,7 @@
         const core::milliseconds age = this->age_of(job, 0, now, wall_time);
         const auto objective =
             core::milliseconds{static_cast<std::int64_t>(
-                static_cast<double>(job.spec.critical_path().count()) * job.policy.max_slowdown)} +
+                static_cast<double>(job.critical_path.count()) * job.policy.max_slowdown)} +
             job.policy.latency_allowance;
         // A job that is begun in time and lapses before it ends was not served.
         job.was_hopeless = job.was_hopeless || (job.is_active() && age > objective * lapse_factor);
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -24,6 +24,15 @@
 // Each stall doubles the stall timeout of the unit, at most this many times. Thus a unit whose
 // worker reports no progress at all can still finish.
 constexpr int max_timeout_doublings = 6;
+// A pass looks at this many steps and makes this many groups; the next one goes on with the jobs
+// that are left. At 0.15 cores it takes some 25 ms.
+constexpr std::size_t max_visits = 8192;
+constexpr std::size_t max_urgent_visits = 6144;
+constexpr std::size_t min_other_visits = 2048;
+// Groups that one job adds to a pass, besides one for each of its ready steps.
+constexpr std::size_t max_groups_per_job = 1024;
+// Occurrences of one job that exist and are not known to be done.
+constexpr std::int64_t max_open_occurrences = 1024;
 
 /// @param speed speed of the run's slowest worker. A slow one is given more time; a fast one not
 ///        less, since nothing is lost by it.
@@ -108,14 +117,20 @@
 {
     for (auto& [number, run] : this->runs)
     {
-        const auto job = this->jobs.find(run.job);
-        if (run.stopping || job == this->jobs.end())
+        // Cheaper than to find the run's job, and true of few runs.
+        const bool may_have_stalled =
+            !run.stopping &&
+            std::all_of(run.members.begin(), run.members.end(),
+                        [now](const run_member_state& member)
+                        { return now - member.last_progress_at > min_stall_timeout; });
+        const auto job = may_have_stalled ? this->jobs.find(run.job) : this->jobs.end();
+        if (job == this->jobs.end())
         {
             continue;
         }
         const step_spec& step = job->second.spec.steps[to_index(run.step)];
-        std::vector<unit_state>& units =
-            job->second.occurrences[run.occurrence][to_index(run.step)].units;
+        unit_table& units =
+            get_or_create_occurrence(job->second, run.occurrence)[to_index(run.step)].units;
         const core::milliseconds allowed = stall_timeout(
             step, this->slowest_speed(run), units[to_index(run.members.front().index)].stall_count);
         bool stalled = !step.long_running;
@@ -136,8 +151,9 @@
             {
                 worker.failure_history.quarantined_until = now + stall_quarantine;
             }
-            units[to_index(member.index)].failed_on.insert(member.agent);
-            ++units[to_index(member.index)].stall_count;
+            unit_state& unit = units.touch(to_index(member.index));
+            unit.failed_on.insert(member.agent);
+            ++unit.stall_count;
         }
         this->stop_run(run, "no progress within the stall timeout", loss_reason::stalled);
     }
@@ -162,21 +178,19 @@
 
 void site_scheduler::implementation::create_due_occurrences(job_state& job, unix_time wall_time)
 {
-    for (std::int64_t occurrence = 0; occurrence < job.spec.occurrence_count(); ++occurrence)
+    while (job.next_occurrence < job.spec.occurrence_count() &&
+           job.next_occurrence - job.first_open_occurrence < max_open_occurrences)
     {
-        if (job.occurrences.contains(occurrence))
+        if (job.spec.occurrences > 0 && !job.occurrences.contains(job.next_occurrence))
         {
-            continue;
-        }
-        if (job.spec.occurrences > 0)
-        {
-            const unix_time due = job.spec.first_due + job.spec.interval * occurrence;
+            const unix_time due = job.spec.first_due + job.spec.interval * job.next_occurrence;
             if (due > wall_time)
             {
                 return;
             }
         }
-        get_or_create_occurrence(job, occurrence);
+        get_or_create_occurrence(job, job.next_occurrence);
+        ++job.next_occurrence;
     }
 }
 
@@ -191,85 +205,167 @@
     std::vector<placement_group> groups;
     this->pending_units = 0;
     this->sum_urgent_demand();
-    const auto add = [&](job_state& job, std::int64_t occurrence, std::int64_t step,
-                         std::vector<std::int64_t> units, core::instant since)
+    const std::map<core::service_id, service_room> rooms = this->rooms_by_service();
+    // Urgent jobs come first, and leave a part of the pass to the others.
+    const std::size_t visits =
+        this->collect_jobs(/*urgent=*/true, max_urgent_visits, rooms, groups, now, wall_time);
+    this->collect_jobs(/*urgent=*/false, std::max(max_visits, visits + min_other_visits) - visits,
+                       rooms, groups, now, wall_time);
+    if (this->settings.order_by_value)
     {
-        const std::vector<unit_state>& all = job.occurrences.at(occurrence)[to_index(step)].units;
-        placement_group group;
-        group.job = &job;
-        group.occurrence = occurrence;
-        group.step = step;
-        group.waiting_since = since;
-        group.idle_since = all[to_index(units.front())].idle_since.value_or(now);
-        group.units = std::move(units);
-        this->pending_units += group.units.size();
-        this->compute_rank(group, now);
-        groups.push_back(std::move(group));
-    };
-    for (auto& [id, job] : this->jobs)
+        this->rank_by_value(groups, now, wall_time);
+    }
+    std::stable_sort(groups.begin(), groups.end(),
+                     [](const placement_group& left, const placement_group& right)
+                     { return left.rank < right.rank; });
+    if (this->settings.fair_shares)
+    {
+        this->order_by_share(groups);
+    }
+    return groups;
+}
+
+std::map<core::service_id, site_scheduler::implementation::service_room>
+site_scheduler::implementation::rooms_by_service() const
+{
+    std::map<core::service_id, service_room> rooms;
+    for (const auto& [id, worker] : this->workers)
+    {
+        service_room& room = rooms[worker.info.service];
+        const resource_amount& capacity = worker.info.capacity;
+        room.total += capacity;
+        room.largest.millicores = std::max(room.largest.millicores, capacity.millicores);
+        room.largest.memory_mb = std::max(room.largest.memory_mb, capacity.memory_mb);
+        room.largest.accelerators = std::max(room.largest.accelerators, capacity.accelerators);
+    }
+    return rooms;
+}
+
+std::size_t site_scheduler::implementation::collect_jobs(
+    bool urgent, std::size_t limit, const std::map<core::service_id, service_room>& rooms,
+    std::vector<placement_group>& groups, core::instant now, unix_time wall_time)
+{
+    core::job_id& next = urgent ? this->next_urgent_job : this->next_other_job;
+    auto each = this->jobs.lower_bound(next);
+    next = core::job_id{};
+    std::size_t visits = 0;
+    for (std::size_t count = 0; count < this->jobs.size(); ++count, ++each)
     {
-        if (!job.is_active())
+        each = each == this->jobs.end() ? this->jobs.begin() : each;
+        job_state& job = each->second;
+        if (!job.is_active() || (job.policy.priority == 0) != urgent)
         {
             continue;
         }
+        if (visits >= limit)
+        {
+            next = each->first;
+            break;
+        }
         this->create_due_occurrences(job, wall_time);
-        if (!job.unreconciled_agents.empty())
+        if (job.unreconciled_agents.empty())
         {
-            continue;
+            const auto room = rooms.find(job.policy.service);
+            visits += this->collect_groups(job, room == rooms.end() ? service_room{} : room->second,
+                                           groups, now);
         }
-        for (auto& [occurrence, open_steps] : job.occurrences)
+    }
+    return visits;
+}
+
+std::size_t site_scheduler::implementation::collect_groups(job_state& job, const service_room& room,
+                                                           std::vector<placement_group>& groups,
+                                                           core::instant now)
+{
+    const std::size_t first_group = groups.size();
+    std::size_t visits = 0;
+    for (auto each = job.occurrences.lower_bound(job.first_open_occurrence);
+         each != job.occurrences.end() && groups.size() - first_group < max_groups_per_job; ++each)
+    {
+        const std::int64_t occurrence = each->first;
+        std::vector<step_state>& steps = each->second;
+        bool is_done = true;
+        for (std::size_t number = 0; number < steps.size(); ++number)
         {
-            // Not every compiler can capture a structured binding in a lambda.
-            std::vector<step_state>& steps = open_steps;
-            for (std::size_t number = 0; number < steps.size(); ++number)
+            ++visits;
+            step_state& step = steps[number];
+            if (step.is_done())
+            {
+                continue;
+            }
+            is_done = false;
+            if (has_met_dependencies(steps, job.spec.steps[number], step))
             {
-                step_state& state = steps[number];
-                const step_spec& spec = job.spec.steps[number];
-                const bool blocked = std::any_of(spec.depends_on.begin(), spec.depends_on.end(),
-                                                 [&](std::int64_t earlier)
-                                                 { return !steps[to_index(earlier)].is_done(); });
-                if (blocked || state.is_done())
-                {
-                    continue;
-                }
-                if (!state.ready_since.has_value())
-                {
-                    state.ready_since = now;
-                }
-                std::vector<std::int64_t> idle_units;
-                for (std::size_t index = 0; index < state.units.size(); ++index)
-                {
-                    unit_state& unit = state.units[index];
-                    if (!unit.done && unit.run == 0 && unit.not_before <= now)
-                    {
-                        unit.idle_since = unit.idle_since.value_or(now);
-                        idle_units.push_back(static_cast<std::int64_t>(index));
-                    }
-                }
-                const auto step = static_cast<std::int64_t>(number);
-                if (spec.gang && idle_units.size() == state.units.size())
-                {
-                    add(job, occurrence, step, idle_units, *state.ready_since);
-                }
-                for (std::size_t index = 0; index < idle_units.size() && !spec.gang; ++index)
-                {
-                    add(job, occurrence, step, {idle_units[index]}, *state.ready_since);
-                }
+                // Each ready step has a group, so that no step waits behind another one's units.
+                const std::size_t taken = groups.size() - first_group;
+                const std::size_t limit =
+                    taken < max_groups_per_job ? max_groups_per_job - taken : 1;
+                this->collect_step(job, occurrence, number, room, limit, groups, now);
             }
         }
+        if (is_done && occurrence == job.first_open_occurrence)
+        {
+            ++job.first_open_occurrence;
+        }
     }
-    if (this->settings.order_by_value)
+    return visits + groups.size() - first_group;
+}
+
+void site_scheduler::implementation::collect_step(job_state& job, std::int64_t occurrence,
+                                                  std::size_t number, const service_room& room,
+                                                  std::size_t limit,
+                                                  std::vector<placement_group>& groups,
+                                                  core::instant now)
+{
+    step_state& step = job.occurrences.at(occurrence)[number];
+    const step_spec& spec = job.spec.steps[number];
+    step.ready_since = step.ready_since.value_or(now);
+    const std::size_t idle = step.units.idle_count(now);
+    if (idle == 0 || (spec.gang && idle < step.units.size()))
     {
-        this->rank_by_value(groups, now, wall_time);
+        return;
     }
-    std::stable_sort(groups.begin(), groups.end(),
-                     [](const placement_group& left, const placement_group& right)
-                     { return left.rank < right.rank; });
-    if (this->settings.fair_shares)
+    this->pending_units += idle;
+    const std::size_t most = room.most_units(spec.resource_request(), step.units.size());
+    const bool exceeds_room = most < (spec.gang ? step.units.size() : 1);
+    const auto add = [&](std::vector<std::int64_t> units)
     {
-        this->order_by_share(groups);
+        placement_group group;
+        group.job = &job;
+        group.occurrence = occurrence;
+        group.step = static_cast<std::int64_t>(number);
+        group.waiting_since = *step.ready_since;
+        group.units = std::move(units);
+        for (const std::int64_t unit : group.units)
+        {
+            group.idle_since = step.units.note_idle(to_index(unit), now);
+        }
+        group.idle_since = step.units.note_idle(to_index(group.units.front()), now);
+        group.exceeds_room = exceeds_room;
+        this->compute_rank(group, now);
+        groups.push_back(std::move(group));
+    };
+    if (spec.gang)
+    {
+        add(step.units.first_idle(now, exceeds_room ? 1 : step.units.size()));
+        return;
     }
-    return groups;
+    // More than one beyond what the workers can hold would wait in any case.
+    for (const std::int64_t unit :
+         step.units.first_idle(now, exceeds_room ? 1 : std::min(limit, most + 1)))
+    {
+        add({unit});
+    }
+}
+
+std::size_t
+site_scheduler::implementation::service_room::most_units(const resource_amount& request,
+                                                         std::size_t wanted) const noexcept
+{
+    return fits(request, this->largest)
+               ? static_cast<std::size_t>(
+                     fit_count(request, this->total, static_cast<std::int64_t>(wanted)))
+               : 0;
 }
 
 void site_scheduler::implementation::sum_urgent_demand()
@@ -279,7 +375,7 @@
     {
         if (job.is_active() && job.policy.priority == 0)
         {
-            this->urgent_demand[job.spec.organisation] += job.spec.initial_accelerators();
+            this->urgent_demand[job.spec.organisation] += job.initial_accelerators;
         }
     }
 }
@@ -304,7 +400,7 @@
         group.rank = -priority_band + waited;
         return;
     }
-    const core::milliseconds critical_path = job.spec.critical_path();
+    const core::milliseconds critical_path = job.critical_path;
     const auto objective =
         core::milliseconds{static_cast<std::int64_t>(static_cast<double>(critical_path.count()) *
                                                      job.policy.max_slowdown)} +
--- a/src/batch/scheduler_place.cpp
+++ b/src/batch/scheduler_place.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr std::uint64_t runs_per_epoch = 1U << 20U;
+// Bounds the length of a pass; the next one goes on.
+constexpr run_number max_starts_per_pass = 1024;
 // On a service with spare capacity, a group waits no longer than this for better room than there
 // is. With the start it must stay below the 3 s for which a job may stand still.
 constexpr core::milliseconds max_wait_beside_spare{1500};
@@ -228,8 +230,14 @@
     this->deduct_preemption_reservations(groups, available);
     this->prepare_packing(groups, now);
     std::pair<const step_spec*, int> full_step{};
-    for (std::size_t next = 0; next < groups.size(); ++next)
+    const run_number first_run = this->next_run;
+    for (std::size_t next = 0;
+         next < groups.size() && this->next_run - first_run < max_starts_per_pass; ++next)
     {
+        if (groups[next].exceeds_room)
+        {
+            continue;
+        }
         const std::span rest = std::span<const placement_group>(groups).subspan(next);
         // All units of a step request the same resources: when one cannot be placed, neither can
         // the others, except those with a preemption reservation or without a wait for a rack.
@@ -478,13 +486,13 @@
     {
         // Any member's checkpoint is valid for the gang, and all must carry the same one.
         std::string newest;
-        for (const unit_state& unit : state.units)
+        for (const auto& [index, unit] : state.units.touched())
         {
             newest = std::max(newest, unit.checkpoint);
         }
-        for (unit_state& unit : state.units)
+        for (const unit_placement& placement : placements)
         {
-            unit.checkpoint = newest;
+            state.units.touch(to_index(placement.index)).checkpoint = newest;
         }
     }
     std::string agent_names;
@@ -497,7 +505,7 @@
         member.last_progress_at = now;
         run.members.push_back(member);
         this->workers[placement.agent].runs.insert(number);
-        state.units[to_index(placement.index)].run = number;
+        state.units.touch(to_index(placement.index)).run = number;
         agent_names += (agent_names.empty() ? "" : ",") + placement.agent.str();
         this->add_job_agent(*group.job, placement.agent);
     }
@@ -531,7 +539,11 @@
 {
     for (auto& [number, run] : this->runs)
     {
-        if (this->starts_held && !run.stopping)
+        const bool needs_command =
+            run.stopping || std::any_of(run.members.begin(), run.members.end(),
+                                        [](const run_member_state& member)
+                                        { return !member.ended && !member.confirmed; });
+        if (!needs_command || (this->starts_held && !run.stopping))
         {
             continue;
         }
--- a/src/batch/scheduler_reports.cpp
+++ b/src/batch/scheduler_reports.cpp
@@ -180,11 +180,12 @@
 void site_scheduler::implementation::on_unknown_run_end(worker_state& worker, job_state& job,
                                                         const reported_end& end)
 {
-    unit_state& unit = job.occurrences[end.unit.occurrence][to_index(end.unit.step)]
-                           .units[to_index(end.unit.index)];
+    unit_table& units =
+        get_or_create_occurrence(job, end.unit.occurrence)[to_index(end.unit.step)].units;
+    const std::size_t position = to_index(end.unit.index);
     const bool gang = job.spec.steps[to_index(end.unit.step)].gang;
     // A run whose lease expired has been replaced or is about to be; its result does not count.
-    if (unit.expired_runs.contains(end.run) || unit.done)
+    if (units[position].expired_runs.contains(end.run) || units.is_done(position))
     {
         return;
     }
@@ -193,12 +194,13 @@
         this->mark_failed(job, end.unit.occurrence, end.unit.step, gang ? 0 : end.unit.index,
                           end.run, worker.agent);
     }
-    if (unit.run == 0 && end.outcome != run_outcome::succeeded &&
-        update_checkpoint(unit, end.checkpoint))
+    const bool has_run = units[position].run != 0;
+    if (!has_run && end.outcome != run_outcome::succeeded &&
+        update_checkpoint(units, position, end.checkpoint))
     {
         this->mark_changed(job);
     }
-    if (unit.run == 0 && end.outcome == run_outcome::succeeded)
+    if (!has_run && end.outcome == run_outcome::succeeded)
     {
         const auto count = job.spec.steps[to_index(end.unit.step)].units;
         const std::int64_t first = gang ? 0 : end.unit.index;
@@ -238,11 +240,12 @@
     const auto job = this->jobs.find(run->second.job);
     if (job != this->jobs.end() && !member->checkpoint.empty())
     {
-        unit_state& unit = get_or_create_occurrence(
-                               job->second, run->second.occurrence)[to_index(run->second.step)]
-                               .units[to_index(member->index)];
+        unit_table& units = get_or_create_occurrence(
+                                job->second, run->second.occurrence)[to_index(run->second.step)]
+                                .units;
         job->second.checkpoint_dirty =
-            update_checkpoint(unit, member->checkpoint) || job->second.checkpoint_dirty;
+            update_checkpoint(units, to_index(member->index), member->checkpoint) ||
+            job->second.checkpoint_dirty;
     }
     this->learn_from_progress(worker, run->second, *member, reported, now);
     if (reported.progress_percent != member->progress_percent ||
@@ -297,14 +300,16 @@
     }
     job_state& job = known->second;
     step_state& step = get_or_create_occurrence(job, run.occurrence)[to_index(run.step)];
-    unit_state& unit = step.units[to_index(member.index)];
+    const std::size_t position = to_index(member.index);
     if (job.is_active())
     {
         // The earlier leader may have started the run without persisting its agent. The next leader
         // must find the agent in the job's progress, or it starts the unit a second time.
         this->add_job_agent(job, worker.agent);
     }
-    const bool superseded = unit.done || (unit.run != 0 && unit.run != run.number) ||
+    const unit_state& unit = step.units[position];
+    const bool superseded = step.units.is_done(position) ||
+                            (unit.run != 0 && unit.run != run.number) ||
                             unit.expired_runs.contains(run.number);
     if (superseded || !job.is_active())
     {
@@ -312,15 +317,16 @@
                        superseded ? loss_reason::superseded : loss_reason::cancelled);
         return;
     }
-    job.checkpoint_dirty = update_checkpoint(unit, member.checkpoint) || job.checkpoint_dirty;
+    job.checkpoint_dirty =
+        update_checkpoint(step.units, position, member.checkpoint) || job.checkpoint_dirty;
     if (!run.gang)
     {
-        unit.run = run.number;
+        step.units.touch(position).run = run.number;
         return;
     }
-    for (unit_state& each : step.units)
+    for (std::size_t each = 0; each < step.units.size(); ++each)
     {
-        each.run = run.number;
+        step.units.touch(each).run = run.number;
     }
     run.gang_complete = run.members.size() == step.units.size();
 }
--- a/src/batch/scheduler_run_times.cpp
+++ b/src/batch/scheduler_run_times.cpp
@@ -170,7 +170,7 @@
     {
         return 0;
     }
-    const core::milliseconds critical_path = job.spec.critical_path();
+    const core::milliseconds critical_path = job.critical_path;
     const double objective = static_cast<double>(critical_path.count()) * job.policy.max_slowdown +
                              static_cast<double>(job.policy.latency_allowance.count());
     const core::milliseconds besides_step = now - job.arrived + critical_path - step.estimate;
--- a/src/batch/scheduler_runs.cpp
+++ b/src/batch/scheduler_runs.cpp
@@ -38,16 +38,16 @@
     this->unpersisted.insert(job.spec.id);
 }
 
-bool site_scheduler::implementation::update_checkpoint(unit_state& unit,
+bool site_scheduler::implementation::update_checkpoint(unit_table& units, std::size_t index,
                                                        const std::string& checkpoint)
 {
     // Later checkpoints of a unit have lexicographically greater names. A delayed report must not
     // replace a newer checkpoint.
-    if (unit.done || checkpoint <= unit.checkpoint)
+    if (units.is_done(index) || checkpoint <= units[index].checkpoint)
     {
         return false;
     }
-    unit.checkpoint = checkpoint;
+    units.touch(index).checkpoint = checkpoint;
     return true;
 }
 
@@ -64,9 +64,9 @@
     if (found != this->jobs.end())
     {
         job_state& job = found->second;
-        unit_state& unit =
-            job.occurrences[run.occurrence][to_index(run.step)].units[to_index(member.index)];
-        if (kind != run_outcome::succeeded && update_checkpoint(unit, member.checkpoint))
+        unit_table& units = get_or_create_occurrence(job, run.occurrence)[to_index(run.step)].units;
+        const std::size_t position = to_index(member.index);
+        if (kind != run_outcome::succeeded && update_checkpoint(units, position, member.checkpoint))
         {
             // The worker may discard the ended run, and with it the checkpoint, only after the
             // checkpoint is persisted.
@@ -74,7 +74,7 @@
         }
         if (kind == run_outcome::lease_expired)
         {
-            unit.expired_runs.insert(run.number);
+            units.touch(position).expired_runs.insert(run.number);
         }
         if (kind == run_outcome::succeeded)
         {
@@ -89,7 +89,7 @@
         }
         else if (kind == run_outcome::never_started)
         {
-            unit.not_before = now + refused_start_backoff;
+            units.touch(position).not_before = now + refused_start_backoff;
         }
     }
     // The other members of a gang must neither run nor wait without this one.
@@ -118,14 +118,12 @@
 void site_scheduler::implementation::mark_unit_done(job_state& job, std::int64_t occurrence,
                                                     std::int64_t step, std::int64_t index)
 {
-    step_state& state = job.occurrences[occurrence][to_index(step)];
-    unit_state& unit = state.units[to_index(index)];
-    if (unit.done || job.spec.steps[to_index(step)].long_running)
+    step_state& state = get_or_create_occurrence(job, occurrence)[to_index(step)];
+    if (job.spec.steps[to_index(step)].long_running ||
+        !batch::mark_unit_done(job, state, to_index(index)))
     {
         return;
     }
-    unit.done = true;
-    ++state.done;
     this->mark_changed(job);
     this->check_completed(job);
 }
@@ -134,7 +132,8 @@
                                                  std::int64_t step, std::int64_t index,
                                                  run_number run, const agent_id& agent)
 {
-    unit_state& unit = job.occurrences[occurrence][to_index(step)].units[to_index(index)];
+    unit_state& unit =
+        get_or_create_occurrence(job, occurrence)[to_index(step)].units.touch(to_index(index));
     unit.failed_on.insert(agent);
     // Long-running units have no limit of attempts, and fail without end.
     if (job.spec.steps[to_index(step)].long_running || !unit.failed.insert(run).second)
@@ -199,7 +198,7 @@
         return;
     }
     --job->second.active_runs;
-    step_state& step = job->second.occurrences[run.occurrence][to_index(run.step)];
+    step_state& step = get_or_create_occurrence(job->second, run.occurrence)[to_index(run.step)];
     core::instant not_before{};
     for (const run_member_state& member : run.members)
     {
@@ -208,16 +207,28 @@
     const bool reached_worker =
         std::any_of(run.members.begin(), run.members.end(),
                     [](const run_member_state& member) { return member.confirmed; });
-    for (unit_state& unit : step.units)
+    // All units of a gang hold its run, also those that no worker has reported.
+    std::vector<std::size_t> ended;
+    for (const run_member_state& member : run.members)
+    {
+        ended.push_back(to_index(member.index));
+    }
+    if (run.gang)
+    {
+        for (const auto& [index, unit] : step.units.touched())
+        {
+            ended.push_back(index);
+        }
+    }
+    for (const std::size_t index : ended)
     {
-        if (unit.run == number)
+        if (step.units[index].run == number)
         {
-            unit.run = 0;
-            if (reached_worker)
+            step.units.end_run(index, reached_worker);
+            if (run.gang && !step.units.is_done(index))
             {
-                unit.idle_since.reset();
+                step.units.touch(index).not_before = not_before;
             }
-            unit.not_before = run.gang ? not_before : unit.not_before;
         }
     }
     step.ready_since = now;
@@ -262,21 +273,10 @@
 
 void site_scheduler::implementation::check_completed(job_state& job)
 {
-    if (job.outcome != job_outcome::unfinished ||
-        static_cast<std::int64_t>(job.occurrences.size()) < job.spec.occurrence_count())
+    if (job.outcome != job_outcome::unfinished || job.done_count < job.unit_count)
     {
         return;
     }
-    for (const auto& [occurrence, steps] : job.occurrences)
-    {
-        for (const step_state& step : steps)
-        {
-            if (!step.is_done())
-            {
-                return;
-            }
-        }
-    }
     job.outcome = job_outcome::completed;
     this->record_decision("job_completed", job.spec.id, "all units have succeeded");
 }
--- a/src/batch/site_state.hpp
+++ b/src/batch/site_state.hpp
@@ -13,7 +13,6 @@
 /// One unit of one step of one occurrence.
 struct unit_state
 {
-    bool done = false;
     /// Run that currently holds resources for the unit; 0 when there is none.
     run_number run{};
     /// Newest known checkpoint; empty when there is none.
@@ -33,19 +32,74 @@
     std::optional<core::instant> idle_since;
 };
 
+/// The units of one step. A unit that has neither run nor failed nor saved a checkpoint takes one
+/// bit, so that wide steps cost little before and after they run.
+class unit_table
+{
+public:
+    explicit unit_table(std::size_t size) : count(size) {}
+
+    [[nodiscard]] std::size_t size() const noexcept { return this->count; }
+    [[nodiscard]] std::size_t done_count() const noexcept { return this->done; }
+    [[nodiscard]] bool is_done(std::size_t index) const noexcept
+    {
+        return !this->done_bits.empty() && this->done_bits[index];
+    }
+    /// @return the unit's state; that of a unit that has never run if none is kept.
+    [[nodiscard]] const unit_state& operator[](std::size_t index) const;
+    /// @return the unit's state, to be changed.
+    unit_state& touch(std::size_t index);
+    /// Marks a unit as done; its state is kept until it has no run.
+    /// @return whether it was not done before.
+    bool mark_done(std::size_t index);
+    /// Ends a unit's run.
+    /// @param reached_worker whether the worker may have begun the run.
+    void end_run(std::size_t index, bool reached_worker);
+    /// @return the units whose state is kept, by index.
+    [[nodiscard]] const std::map<std::size_t, unit_state>& touched() const noexcept
+    {
+        return this->states;
+    }
+    /// @return number of units that could run now.
+    [[nodiscard]] std::size_t idle_count(core::instant now) const;
+    /// @return the first units that could run now, at most @p limit.
+    [[nodiscard]] std::vector<std::int64_t> first_idle(core::instant now, std::size_t limit);
+    /// Records that a unit could run now.
+    /// @return since when it could.
+    core::instant note_idle(std::size_t index, core::instant now);
+
+private:
+    [[nodiscard]] static bool is_idle(const unit_state& unit, core::instant now) noexcept
+    {
+        return unit.run == 0 && unit.not_before <= now;
+    }
+
+    std::size_t count;
+    std::size_t done{};
+    /// Empty until a unit is done.
+    std::vector<bool> done_bits;
+    std::map<std::size_t, unit_state> states;
+    /// unit_state::idle_since of the units without a kept state.
+    std::optional<core::instant> idle_since;
+    /// All units before this one are done.
+    std::size_t first_open{};
+};
+
 /// One step of one occurrence.
 struct step_state
 {
-    std::vector<unit_state> units;
-    /// Number of units that are done.
-    std::int64_t done{};
+    explicit step_state(std::size_t units) : units(units) {}
+
+    unit_table units;
+    /// Number of the step's dependencies, in their order, that are known to be done.
+    std::size_t dependencies_met{};
     /// When the step became ready to run, as the first pass after that saw it. Reset when one of
     /// its runs ends.
     std::optional<core::instant> ready_since;
 
     [[nodiscard]] bool is_done() const noexcept
     {
-        return this->done == static_cast<std::int64_t>(this->units.size());
+        return this->units.done_count() == this->units.size();
     }
 };
 
@@ -72,6 +126,16 @@
     /// The queue's policy in the newest configuration.
     queue_policy policy;
     std::map<std::int64_t, std::vector<step_state>> occurrences;
+    /// All occurrences before this one have been created.
+    std::int64_t next_occurrence{};
+    /// All occurrences before this one are done.
+    std::int64_t first_open_occurrence{};
+    /// Units of all steps and occurrences, and those of them that are done.
+    std::int64_t unit_count{};
+    std::int64_t done_count{};
+    /// Of the specification, which does not change; see job_spec.
+    core::milliseconds critical_path{};
+    std::int64_t initial_accelerators{};
     /// When this leader first saw the job.
     core::instant arrived{};
     /// The job's age then, by the time of day; not set before it is first needed.
@@ -146,6 +210,14 @@
 /// @return the steps of one occurrence, which is created if it does not exist.
 std::vector<step_state>& get_or_create_occurrence(job_state& job, std::int64_t occurrence);
 
+/// Marks a unit as done.
+/// @return whether it was not done before.
+bool mark_unit_done(job_state& job, step_state& step, std::size_t index);
+
+/// @return whether all steps that the step depends on are done.
+[[nodiscard]] bool has_met_dependencies(std::vector<step_state>& steps, const step_spec& spec,
+                                        step_state& step);
+
 /// @return whether the indices of the unit are within the job's bounds.
 [[nodiscard]] bool has_unit(const job_state& job, const unit_key& unit);
 
@@ -257,6 +329,9 @@
     /// Work was stopped to make room for the group. Other groups' backfill reservations do not
     /// apply to it until it starts.
     bool room_promised = false;
+    /// The workers of the group's service could not hold it if they were empty. It stands for all
+    /// units of its step, and is not placed.
+    bool exceeds_room = false;
 };
 
 /// One amount per worker, by worker_state::index.
--- /dev/null
+++ b/tests/large_jobs_test.cpp
@@ -0,0 +1,211 @@
+#include "chicorylift/batch/scheduler.hpp"
+#include "support/batch_site.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <string>
+#include <thread>
+#include <unistd.h>
+
+/// Large accepted jobs, as decisions and as processes.
+namespace
+{
+
+using namespace chicorylift;
+using namespace chicorylift::batch;
+using core::instant_at;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::batch_site;
+
+// A turn of a leader's loop may take 50 ms at 0.15 cores.
+constexpr double max_turn_ms = 50 * 0.15;
+// A job may stand still for 3 s once the site has been calm for 4 s.
+constexpr seconds standstill_limit{7};
+
+double cpu_ms()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e3 + static_cast<double>(time.tv_nsec) / 1e6;
+}
+
+double resident_mb()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+/// @return a job of two layers of steps, each of the second after all of the first, for which no
+///         worker has enough accelerators.
+job_spec layered_job(const std::string& id, int steps_per_layer, std::int64_t units_per_step)
+{
+    job_spec job;
+    job.id = core::job_id(id);
+    job.policy.queue = queue_id("q");
+    job.policy.service = core::service_id("s");
+    job.policy.priority = 1;
+    step_spec step;
+    step.per_unit = {1000, 100, 9};
+    step.units = units_per_step;
+    job.steps.assign(static_cast<std::size_t>(steps_per_layer), step);
+    step.units = 1;
+    for (int earlier = 0; earlier < steps_per_layer; ++earlier)
+    {
+        step.depends_on.push_back(earlier);
+    }
+    job.steps.resize(2 * static_cast<std::size_t>(steps_per_layer), step);
+    return job;
+}
+
+worker_report report_of_worker()
+{
+    worker_report report;
+    report.agent = agent_id("a");
+    report.worker.announced = true;
+    report.worker.started_at = unix_time{1};
+    report.worker.service = core::service_id("s");
+    report.worker.capacity = {32000, 131072, 8};
+    report.lists_valid = true;
+    return report;
+}
+
+/// @return a job body like that of layered_job().
+std::string layered_body(int steps_per_layer, int units_per_step)
+{
+    std::string all_first;
+    std::string steps;
+    for (int number = 0; number < steps_per_layer; ++number)
+    {
+        all_first += (number == 0 ? "" : ",") + std::to_string(number);
+        steps += std::string(number == 0 ? "" : ",") + R"({"count":)" +
+                 std::to_string(units_per_step) + R"(,"cpu":1000,"memMb":100,"gpu":9})";
+    }
+    for (int number = 0; number < steps_per_layer; ++number)
+    {
+        steps += R"(,{"count":1,"cpu":1000,"memMb":100,"gpu":9,"after":[)" + all_first + "]}";
+    }
+    return R"({"spec":"300","steps":[)" + steps + "]}";
+}
+
+std::string job_name(int number)
+{
+    const std::string text = std::to_string(number);
+    return std::string(16 - text.size(), '0') + text;
+}
+
+} // namespace
+
+// Guards against LOST: a pass walked all steps of a job for each of its units.
+TEST_CASE("a pass and a load take no longer than a turn may for the largest job that is accepted")
+{
+    for (const int jobs : {1, 20})
+    {
+        CAPTURE(jobs);
+        site_scheduler scheduler({}, instant_at(milliseconds{10'000}));
+        scheduler.on_report(report_of_worker(), instant_at(milliseconds{10'000}));
+        double longest = 0;
+        for (int number = 0; number < jobs; ++number)
+        {
+            job_spec job = layered_job(std::to_string(number), 200, 495);
+            REQUIRE(validate_job(job).ok());
+            const double begin = cpu_ms();
+            scheduler.add_job(std::move(job), {}, false, instant_at(milliseconds{10'000}));
+            longest = std::max(longest, cpu_ms() - begin);
+        }
+        for (int pass = 1; pass <= 3; ++pass)
+        {
+            const double begin = cpu_ms();
+            CHECK(scheduler.schedule(instant_at(milliseconds{10'000 + 500 * pass}), {}, true)
+                      .empty());
+            longest = std::max(longest, cpu_ms() - begin);
+        }
+        CHECK(longest < max_turn_ms);
+    }
+}
+
+// Guards against LOST: jobs with many units took each leader past the memory of its machine.
+TEST_CASE("the units of large jobs that have not run take little memory")
+{
+    const double before = resident_mb();
+    site_scheduler scheduler({}, instant_at(milliseconds{10'000}));
+    for (int number = 0; number < 8; ++number)
+    {
+        scheduler.add_job(layered_job(std::to_string(number), 1, 99'999), {}, false,
+                          instant_at(milliseconds{10'000}));
+    }
+    scheduler.on_report(report_of_worker(), instant_at(milliseconds{10'000}));
+    CHECK(scheduler.schedule(instant_at(milliseconds{10'100}), {}, true).empty());
+    CHECK(scheduler.pending_units() == 8 * 99'999);
+    CHECK(resident_mb() - before < 16);
+}
+
+// Guards against LOST: a step that can be placed waits behind units that no worker can hold.
+TEST_CASE("a wide step that cannot be placed holds up neither the other steps nor other jobs")
+{
+    site_scheduler scheduler({}, instant_at(milliseconds{10'000}));
+    job_spec wide = layered_job("wide", 1, 50'000);
+    wide.steps[0].per_unit = {0, 0, 0};
+    wide.steps[0].required_label = "none has it";
+    wide.steps[1].depends_on.clear();
+    wide.steps[1].per_unit = {1000, 1000, 1};
+    scheduler.add_job(wide, {}, false, instant_at(milliseconds{10'000}));
+    job_spec other = layered_job("other", 1, 1);
+    other.steps[0].per_unit = {1000, 1000, 1};
+    scheduler.add_job(other, {}, false, instant_at(milliseconds{10'000}));
+    scheduler.on_report(report_of_worker(), instant_at(milliseconds{10'000}));
+    const auto started = scheduler.schedule(instant_at(milliseconds{10'100}), {}, true);
+    CHECK(started.size() == 2);
+}
+
+// Guards against LOST: jobs beyond what one pass looks at were never looked at.
+TEST_CASE("every job is placed in time however many large ones are before it")
+{
+    site_scheduler scheduler({}, instant_at(milliseconds{10'000}));
+    for (int number = 0; number < 60; ++number)
+    {
+        scheduler.add_job(layered_job("a" + std::to_string(number), 400, 100), {}, false,
+                          instant_at(milliseconds{10'000}));
+    }
+    job_spec last = layered_job("z", 1, 1);
+    last.steps.resize(1);
+    last.steps[0].per_unit = {1000, 1000, 1};
+    scheduler.add_job(last, {}, false, instant_at(milliseconds{10'000}));
+    std::size_t started = 0;
+    for (int pass = 1; pass <= 10 && started == 0; ++pass)
+    {
+        scheduler.on_report(report_of_worker(), instant_at(milliseconds{10'000 + 200 * pass}));
+        scheduler.on_renewal_sent(agent_id("a"), instant_at(milliseconds{10'000 + 200 * pass}));
+        started =
+            scheduler.schedule(instant_at(milliseconds{10'000 + 200 * pass}), {}, true).size();
+    }
+    CHECK(started == 1);
+}
+
+// Guards against LOST: one accepted job that can never be done kept every leader in its passes.
+TEST_CASE("a site goes on beside large jobs that can never be done")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(batch_site::wait_for([&] { return site.call(0, "GET", "").status == 200; }));
+    REQUIRE(batch_site::wait_for([&] { return site.leader() >= 0; }));
+    for (int number = 1; number <= 5; ++number)
+    {
+        REQUIRE(site.call(0, "POST", job_name(number), layered_body(200, 495)).status == 200);
+    }
+    REQUIRE(site.call(0, "POST", job_name(100), testing::job_body("300", 2, 1, false)).status ==
+            200);
+    CHECK(site.wait_for_state(job_name(100), "completed", standstill_limit));
+    // The first leader cannot rule out an earlier one until a lease has passed.
+    std::this_thread::sleep_for(seconds{6});
+    // The next leader loads them all.
+    site.agent(site.leader()).kill_now();
+    REQUIRE(site.call(0, "POST", job_name(101), testing::job_body("300", 2, 1, false)).status ==
+            200);
+    CHECK(site.wait_for_state(job_name(101), "completed", standstill_limit));
+}
