Load jobs in turns, and answer reports in between

No work is placed before all are loaded, as before. A job whose row is removed meanwhile is not loaded any more.

The length of a turn with many jobs was not measured with processes.

--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -117,6 +117,10 @@
     void on_member_left(const std::string& name);
     void on_members_confirmed();
     void load_jobs_if_ready();
+    /// Loads jobs for a while, and goes on in a later turn of the loop if some are left.
+    void load_some_jobs();
+    void load_job(const core::job_id& id, const wire::batch_job& stored);
+    void on_jobs_loaded();
     void schedule_pass();
     void run_pass();
     /// Sends the starts and stops that need no scheduling pass.
@@ -200,7 +204,10 @@
     std::map<core::job_id, wire::batch_progress> progress_rows;
     std::map<core::job_id, bool> cancel_rows;
     std::map<core::job_id, wire::batch_job> pending_job_rows;
+    bool loading = false;
     bool loaded = false;
+    std::uint64_t loaded_jobs{};
+    std::uint64_t loaded_open_jobs{};
     bool stepped_down = false;
     bool pass_scheduled = false;
     bool answers_scheduled = false;
