Accept no job that a leader or the store cannot hold

A job whose row is larger than the store takes was answered 503, "the store refused", and repeated for ever.

Cause: an entry weighed the number of steps and units of a job, never its bytes nor those of the jobs that stand already.

Change: state_bytes() estimates a leader's memory for a job. A leader sets aside jobs that were accepted without the limit and cannot have run, and reads them again when others have ended. A pass no longer looks up the job of each run to see whether it waits or is an incomplete gang.

--- a/include/chicorylift/batch/job.hpp
+++ b/include/chicorylift/batch/job.hpp
@@ -149,6 +149,9 @@
 /// @return invalid_request if a job cannot have so many steps.
 [[nodiscard]] absl::Status validate_step_count(std::size_t steps);
 
+/// @return an estimate of the memory that a leader needs for the job, without its runs.
+[[nodiscard]] std::size_t state_bytes(const job_spec& job) noexcept;
+
 /// Validates a job from a caller.
 /// @return invalid_request describing the first value that is out of range.
 [[nodiscard]] absl::Status validate_job(const job_spec& job);
--- a/include/chicorylift/batch/submission_admission.hpp
+++ b/include/chicorylift/batch/submission_admission.hpp
@@ -21,6 +21,9 @@
     std::size_t max_pending_submissions{};
     /// Queued jobs of one organisation that go before a new one.
     std::size_t max_queued_per_organisation{};
+    /// Memory that a leader may need for all unfinished jobs. Those of one organisation may take
+    /// half of it.
+    std::size_t max_state_bytes{};
 };
 
 /// Counts events over a sliding window.
@@ -59,6 +62,11 @@
     /// Time after acceptance beyond which the job is worth nothing to its caller; 0 for a job that
     /// must not be refused for its organisation's backlog.
     core::milliseconds lapse{};
+    /// Memory that a leader needs for the unfinished jobs of all organisations, for those of the
+    /// job's own, and for the job; see batch::state_bytes().
+    std::size_t state_bytes{};
+    std::size_t own_state_bytes{};
+    std::size_t job_bytes{};
 };
 
 /// Whether a submission is taken, and if not, why.
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -179,6 +179,24 @@
     return absl::OkStatus();
 }
 
+std::size_t state_bytes(const job_spec& job) noexcept
+{
+    // As measured by the benchmark of large jobs.
+    constexpr std::size_t job_bytes = 1000;
+    constexpr std::size_t step_state_bytes = 160;
+    constexpr std::size_t units_per_byte = 8;
+    const auto occurrences = static_cast<std::size_t>(job.occurrence_count());
+    std::size_t bytes = job_bytes + job.payload.size();
+    for (const step_spec& step : job.steps)
+    {
+        bytes += sizeof step + step.depends_on.size() * sizeof step.depends_on.front() +
+                 step.image.size() + step.required_label.size() + step.data_rack.size();
+        bytes += occurrences *
+                 (step_state_bytes + static_cast<std::size_t>(step.units) / units_per_byte);
+    }
+    return bytes;
+}
+
 absl::Status validate_job(const job_spec& job)
 {
     absl::Status counted = validate_step_count(job.steps.size());
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -163,12 +163,13 @@
 {
     for (auto& [number, run] : this->runs)
     {
-        const auto job = this->jobs.find(run.job);
-        if (run.gang_complete || run.stopping || job == this->jobs.end())
+        if (run.gang_complete || run.stopping)
         {
             continue;
         }
-        if (job->second.unreconciled_agents.empty() && now - run.started_at > gang_adoption_timeout)
+        const auto job = this->jobs.find(run.job);
+        if (job != this->jobs.end() && job->second.unreconciled_agents.empty() &&
+            now - run.started_at > gang_adoption_timeout)
         {
             this->stop_run(run, "not all members of the adopted gang were reported in time",
                            loss_reason::gang_incomplete);
--- a/src/batch/scheduler_waits.cpp
+++ b/src/batch/scheduler_waits.cpp
@@ -41,6 +41,12 @@
     }
 }
 
+/// @return whether the worker's runs are known to go on.
+bool is_heard(const worker_state& worker, core::instant now)
+{
+    return !worker.info.unresponsive && now - worker.last_report_at < max_silence;
+}
+
 /// Number of the items added, and the names of the first ones.
 class counted_list
 {
@@ -114,14 +120,23 @@
             causes[&job].agents = true;
         }
     }
+    std::vector<bool> heard(this->workers.size());
+    for (const auto& [id, worker] : this->workers)
+    {
+        heard[worker.index] = is_heard(worker, now);
+    }
     for (const auto& [number, run] : this->runs)
     {
-        const auto job = this->jobs.find(run.job);
         const bool unseen =
             std::any_of(run.members.begin(), run.members.end(),
-                        [this, now](const run_member_state& member)
-                        { return !member.ended && !this->is_seen_running(member, now); });
-        if (job != this->jobs.end() && job->second.is_active() && (run.stopping || unseen))
+                        [&heard](const run_member_state& member)
+                        { return !member.ended && !(member.confirmed && heard[member.worker]); });
+        if (!run.stopping && !unseen)
+        {
+            continue;
+        }
+        const auto job = this->jobs.find(run.job);
+        if (job != this->jobs.end() && job->second.is_active())
         {
             causes[&job->second].run = &run;
         }
@@ -142,9 +157,7 @@
 bool site_scheduler::implementation::is_seen_running(const run_member_state& member,
                                                      core::instant now) const
 {
-    const worker_state& worker = this->workers.at(member.agent);
-    return member.confirmed && !worker.info.unresponsive &&
-           now - worker.last_report_at < max_silence;
+    return member.confirmed && is_heard(this->workers.at(member.agent), now);
 }
 
 void site_scheduler::implementation::record_wait(const job_state& job, const wait_cause& cause,
--- a/src/batch/submission_admission.cpp
+++ b/src/batch/submission_admission.cpp
@@ -70,6 +70,18 @@
                          static_cast<double>(load.pending_submissions) * milliseconds_per_second /
                              static_cast<double>(max_submission_time.count()))};
     }
+    const std::size_t max_own = limits.max_state_bytes / 2;
+    if (limits.max_state_bytes > 0 && (load.own_state_bytes + load.job_bytes > max_own ||
+                                       load.state_bytes + load.job_bytes > limits.max_state_bytes))
+    {
+        return {false,
+                "the job takes " + std::to_string(load.job_bytes) +
+                    " bytes of a leader's memory; the unfinished jobs of its organisation take " +
+                    std::to_string(load.own_state_bytes) + " of " + std::to_string(max_own) +
+                    ", those of all " + std::to_string(load.state_bytes) + " of " +
+                    std::to_string(limits.max_state_bytes),
+                rate_of(load.started)};
+    }
     if (limits.max_queued_per_organisation == 0 ||
         load.queued < limits.max_queued_per_organisation || !load.starts_known ||
         load.lapse.count() <= 0)
--- a/src/site/entry.hpp
+++ b/src/site/entry.hpp
@@ -53,6 +53,8 @@
     /// Reads from the store before writing, so that an unreachable store leads to a definite
     /// refusal.
     void probe_store_then_submit(const std::shared_ptr<submission>& pending);
+    /// @return why the job is too large to be ever accepted; empty if it is not.
+    [[nodiscard]] std::string describe_excess(const submission& pending) const;
     /// Decides whether the submission is taken. One that is not is answered as accepted if its job
     /// has been stored already.
     void admit(const std::shared_ptr<submission>& pending);
--- a/src/site/entry_calls.cpp
+++ b/src/site/entry_calls.cpp
@@ -26,6 +26,7 @@
 // With bounded submissions, this many of their writes are sent at a time. The store has 24
 // connections; the others stay free for status requests and cancellations.
 constexpr std::size_t max_submission_writes = 16;
+constexpr std::size_t bytes_per_mb = 1U << 20U;
 // Beyond this, whether a refused job has been stored before stays unknown.
 constexpr std::size_t max_refusal_reads = 32;
 } // namespace
@@ -36,6 +37,8 @@
     batch::job_spec job;
     batch::resolved_request call;
     std::string key;
+    /// Value of the job's row.
+    std::string row;
     ports::transaction changes;
     responder respond;
     core::instant started_at;
@@ -64,6 +67,16 @@
     pending->job.organisation = call.organisation;
     pending->job.policy = call.route.policy;
     pending->job.accepted = support::unix_now();
+    pending->row = to_row(pending->job).SerializeAsString();
+    const std::string excess = this->describe_excess(*pending);
+    if (!excess.empty())
+    {
+        events::write("job_refused", {{"job", call.job.str()},
+                                      {"queue", call.route.policy.queue.str()},
+                                      {"reason", excess}});
+        respond(platform::answer_response(client_result::bad_request, excess, {}));
+        return;
+    }
     pending->call = call;
     pending->key = key;
     pending->respond = respond;
@@ -85,6 +98,22 @@
     this->admit(pending);
 }
 
+std::string entry::describe_excess(const submission& pending) const
+{
+    const auto exceeds = [](std::string_view what, std::size_t bytes, std::size_t limit)
+    {
+        return "the job takes " + std::to_string(bytes) + " bytes " + std::string(what) +
+               "; at most " + std::to_string(limit) + " are allowed";
+    };
+    if (pending.row.size() > this->values.max_row_bytes)
+    {
+        return exceeds("as it is stored", pending.row.size(), this->values.max_row_bytes);
+    }
+    const std::size_t bytes = batch::state_bytes(pending.job);
+    const std::size_t limit = this->values.max_job_state_mb * bytes_per_mb / 2;
+    return limit > 0 && bytes > limit ? exceeds("of a leader's memory", bytes, limit) : "";
+}
+
 void entry::admit(const std::shared_ptr<submission>& pending)
 {
     const batch::admission_decision decision = this->decide_admission(*pending);
@@ -101,11 +130,15 @@
 batch::admission_decision entry::decide_admission(const submission& pending) const
 {
     const batch::admission_limits limits{this->values.max_pending_submissions,
-                                         this->values.max_queued_per_organisation};
+                                         this->values.max_queued_per_organisation,
+                                         std::size_t{this->values.max_job_state_mb} * bytes_per_mb};
     const core::instant now = core::boot_clock::now();
     batch::admission_load load;
     load.pending_submissions = this->pending_submissions.size();
     load.written = this->submissions_written.count(now);
+    load.state_bytes = this->jobs.state_bytes();
+    load.own_state_bytes = this->jobs.state_bytes_of(pending.job.organisation);
+    load.job_bytes = batch::state_bytes(pending.job);
     if (limits.max_queued_per_organisation > 0)
     {
         std::tie(load.queued, load.started) =
@@ -172,7 +205,7 @@
     pending->changes.conditions.push_back({row_id, 0});
     pending->changes.conditions.push_back(
         {withdrawal_row_id(pending->job.id, pending->job.organisation), 0});
-    pending->changes.writes.push_back({row_id, to_row(pending->job).SerializeAsString()});
+    pending->changes.writes.push_back({row_id, std::move(pending->row)});
     if (this->time_since_store_answer() > store_doubt_threshold)
     {
         this->probe_store_then_submit(pending);
--- a/src/site/job_view.cpp
+++ b/src/site/job_view.cpp
@@ -31,14 +31,28 @@
            this->state() == ports::client_job_state::queued;
 }
 
-void job_view::count_change(const cached_job& job, bool was_queued, core::instant now)
+job_view::job_weight job_view::weight_of(const cached_job& job) noexcept
 {
-    if (was_queued == job.is_queued())
+    const bool unfinished =
+        job.accepted_version != 0 && !job.completed && !job.failed && !job.cancelled;
+    return {job.is_queued(), unfinished ? job.state_bytes : 0};
+}
+
+void job_view::count_change(const cached_job& job, const job_weight& before, core::instant now)
+{
+    const job_weight after = weight_of(job);
+    if (after.state_bytes != before.state_bytes)
+    {
+        std::size_t& own = this->state_bytes_by_organisation[job.organisation];
+        own = own + after.state_bytes - before.state_bytes;
+        this->total_state_bytes = this->total_state_bytes + after.state_bytes - before.state_bytes;
+    }
+    if (before.queued == after.queued)
     {
         return;
     }
     job_backlog& backlog = this->backlogs[{job.organisation, job.priority}];
-    if (!was_queued)
+    if (!before.queued)
     {
         ++backlog.queued;
         return;
@@ -62,15 +76,15 @@
         const auto removed = this->jobs.find(key->job);
         if (key->kind == job_row_kind::accepted && removed != this->jobs.end())
         {
-            const bool was_queued = removed->second.is_queued();
+            const job_weight before = weight_of(removed->second);
             removed->second.accepted_version = 0;
-            this->count_change(removed->second, was_queued, now);
+            this->count_change(removed->second, before, now);
             this->jobs.erase(removed);
         }
         return;
     }
     cached_job& job = this->jobs[key->job];
-    const bool was_queued = job.is_queued();
+    const job_weight before = weight_of(job);
     if (key->kind == job_row_kind::accepted)
     {
         const auto stored = parse_job(row);
@@ -85,6 +99,7 @@
         job.priority = stored->terms().priority();
         job.has_schedule = stored->occurrences() > 0;
         job.accepted_version = row.version;
+        job.state_bytes = batch::state_bytes(from_row(*stored));
     }
     else if (key->kind == job_row_kind::progress)
     {
@@ -100,7 +115,13 @@
     {
         job.cancelled = true;
     }
-    this->count_change(job, was_queued, now);
+    this->count_change(job, before, now);
+}
+
+std::size_t job_view::state_bytes_of(const core::organisation_id& organisation) const
+{
+    const auto found = this->state_bytes_by_organisation.find(organisation);
+    return found == this->state_bytes_by_organisation.end() ? 0 : found->second;
 }
 
 std::pair<std::size_t, std::uint64_t>
--- a/src/site/job_view.hpp
+++ b/src/site/job_view.hpp
@@ -25,6 +25,8 @@
     bool cancelled = false;
     /// Version of the job's accepted row; 0 until that row has been read.
     ports::revision accepted_version{};
+    /// See batch::state_bytes().
+    std::size_t state_bytes{};
 
     /// @return the state exposed by the client API.
     [[nodiscard]] ports::client_job_state state() const noexcept;
@@ -56,13 +58,26 @@
     backlog_of(const core::organisation_id& organisation, std::int64_t priority,
                core::instant now) const;
     [[nodiscard]] std::size_t size() const noexcept { return this->jobs.size(); }
+    /// @return memory that a leader needs for the unfinished jobs.
+    [[nodiscard]] std::size_t state_bytes() const noexcept { return this->total_state_bytes; }
+    /// @return the same for those of one organisation.
+    [[nodiscard]] std::size_t state_bytes_of(const core::organisation_id& organisation) const;
 
 private:
-    /// Updates the backlogs after a job has changed.
-    void count_change(const cached_job& job, bool was_queued, core::instant now);
+    /// What a job counts for.
+    struct job_weight
+    {
+        bool queued = false;
+        std::size_t state_bytes{};
+    };
+    [[nodiscard]] static job_weight weight_of(const cached_job& job) noexcept;
+    /// Updates the totals after a job has changed.
+    void count_change(const cached_job& job, const job_weight& before, core::instant now);
 
     std::map<core::job_id, cached_job> jobs;
     std::map<std::pair<core::organisation_id, std::int64_t>, job_backlog> backlogs;
+    std::size_t total_state_bytes{};
+    std::map<core::organisation_id, std::size_t> state_bytes_by_organisation;
 };
 
 } // namespace chicorylift::site
--- a/src/site/leader.cpp
+++ b/src/site/leader.cpp
@@ -556,6 +556,7 @@
         this->schedule_pass();
         this->trim();
         this->trim_withdrawals();
+        this->load_set_aside_job();
         this->check_writable();
     }
     this->last_tick = core::boot_clock::now();
--- a/src/site/leader.hpp
+++ b/src/site/leader.hpp
@@ -120,6 +120,14 @@
     /// Loads jobs for a while, and goes on in a later turn of the loop if some are left.
     void load_some_jobs();
     void load_job(const core::job_id& id, const wire::batch_job& stored);
+    /// Adds a job to the scheduler, or sets it aside if there is no memory for it and it cannot
+    /// have run.
+    void add_job(batch::job_spec job, const batch::job_progress& progress, bool cancelled,
+                 batch::job_origin origin, ports::revision accepted_version);
+    /// Reads a job that was set aside if there is memory for it now.
+    void load_set_aside_job();
+    void on_set_aside_rows(const core::job_id& id, const absl::StatusOr<ports::row_page>& page);
+    void forget_job(const core::job_id& id);
     void on_jobs_loaded();
     void schedule_pass();
     void run_pass();
@@ -208,6 +216,12 @@
     bool loaded = false;
     std::uint64_t loaded_jobs{};
     std::uint64_t loaded_open_jobs{};
+    /// Memory that the scheduler needs for each job, see batch::state_bytes(), and in total.
+    std::map<core::job_id, std::size_t> job_bytes;
+    std::size_t total_job_bytes{};
+    /// Jobs that wait for memory, with what they need.
+    std::map<core::job_id, std::size_t> set_aside_jobs;
+    bool set_aside_read_in_flight = false;
     bool stepped_down = false;
     bool pass_scheduled = false;
     bool answers_scheduled = false;
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-/// Parts of the leader that load, persist and trim rows of the table service.
+/// Parts of the leader that follow, persist and trim rows of the table service.
 namespace chicorylift::site
 {
 
@@ -17,8 +17,6 @@
 namespace events = support::events;
 
 constexpr core::milliseconds write_timeout{800};
-// A turn that loads jobs ends after this; a single job takes less.
-constexpr core::milliseconds max_load_turn{20};
 // Progress that finishes no job is batched over this interval.
 constexpr core::milliseconds lazy_write_interval{200};
 constexpr core::milliseconds writable_check_interval{400};
@@ -123,10 +121,7 @@
     {
         if (key->kind == job_row_kind::accepted)
         {
-            this->pending_job_rows.erase(key->job);
-            this->scheduler.remove_job(key->job);
-            this->cancel_rows.erase(key->job);
-            this->ended_since.erase(key->job);
+            this->forget_job(key->job);
         }
         return;
     }
@@ -165,11 +160,14 @@
         this->pending_job_rows[id] = std::move(*stored);
         return;
     }
-    this->scheduler.add_job(from_row(*stored), {}, this->cancel_rows.contains(id),
-                            this->context.loop.now(),
-                            row.version > this->row_version ? batch::job_origin::this_leader
-                                                            : batch::job_origin::earlier_leader,
-                            row.version);
+    this->add_job(from_row(*stored), {}, this->cancel_rows.contains(id),
+                  row.version > this->row_version ? batch::job_origin::this_leader
+                                                  : batch::job_origin::earlier_leader,
+                  row.version);
+    if (!this->job_bytes.contains(id))
+    {
+        return;
+    }
     events::write("job_known",
                   {{"job", id.str()},
                    {"queue", stored->terms().queue()},
@@ -180,76 +178,6 @@
     this->schedule_pass();
 }
 
-void leader::load_jobs_if_ready()
-{
-    // A request to evacuate a zone may stand in a row that follows the configuration's.
-    const bool requests_read = !this->evacuations.is_enabled() || this->config_rows->is_loaded();
-    if (this->loaded || !this->job_rows->is_loaded() || !this->member_rows->is_loaded() ||
-        !this->config.has_value() || !requests_read || this->loading)
-    {
-        return;
-    }
-    this->loading = true;
-    this->load_some_jobs();
-}
-
-void leader::load_some_jobs()
-{
-    const core::instant begin = core::boot_clock::now();
-    while (!this->pending_job_rows.empty() && core::boot_clock::now() - begin < max_load_turn)
-    {
-        const auto next = this->pending_job_rows.begin();
-        this->load_job(next->first, next->second);
-        this->pending_job_rows.erase(next);
-    }
-    if (this->pending_job_rows.empty())
-    {
-        this->on_jobs_loaded();
-        return;
-    }
-    // Reports are answered in between.
-    const std::weak_ptr<bool> alive = this->lifetime_token;
-    this->context.loop.post(
-        [this, alive]
-        {
-            if (!alive.expired() && !this->stepped_down)
-            {
-                this->load_some_jobs();
-            }
-        });
-}
-
-void leader::load_job(const core::job_id& id, const wire::batch_job& stored)
-{
-    batch::job_progress progress;
-    const auto written = this->progress_rows.find(id);
-    if (written != this->progress_rows.end())
-    {
-        progress = from_row(written->second);
-    }
-    const bool cancelled =
-        this->cancel_rows.contains(id) && progress.outcome == batch::job_outcome::unfinished;
-    ++this->loaded_jobs;
-    this->loaded_open_jobs +=
-        progress.outcome == batch::job_outcome::unfinished && !cancelled ? 1 : 0;
-    this->scheduler.add_job(from_row(stored), progress, cancelled, this->context.loop.now(),
-                            batch::job_origin::earlier_leader, this->job_rows->version());
-}
-
-void leader::on_jobs_loaded()
-{
-    this->loaded = true;
-    events::write("lead_taken", {{"epoch", this->my_epoch},
-                                 {"jobs", this->loaded_jobs},
-                                 {"open_jobs", this->loaded_open_jobs},
-                                 {"agents", static_cast<std::uint64_t>(this->agents.size())},
-                                 {"took_ms", (core::boot_clock::now() - this->began).count()}});
-    this->progress_rows.clear();
-    this->context.metrics.increment("lead", "taken");
-    this->send_to_all_agents();
-    this->schedule_pass();
-}
-
 void leader::write_progress()
 {
     const core::instant now = core::boot_clock::now();
--- a/src/site/settings.cpp
+++ b/src/site/settings.cpp
@@ -107,6 +107,14 @@
                    "memory in MB for the buffers of all connections; 0 derives it from memory-mb")
         ->envname("CHICORYLIFT_BUFFER_MB")
         ->capture_default_str();
+    app.add_option("--max-row-bytes", values.max_row_bytes,
+                   "largest value of a row of the table service, in bytes")
+        ->envname("CHICORYLIFT_MAX_ROW_BYTES")
+        ->capture_default_str();
+    app.add_option("--max-job-state-mb", values.max_job_state_mb,
+                   "memory in MB that a leader may need for unfinished jobs; 0 for no limit")
+        ->envname("CHICORYLIFT_MAX_JOB_STATE_MB")
+        ->capture_default_str();
     app.add_option("--max-descriptors", values.max_descriptors,
                    "descriptors that the process may open, 200 for files; 0 derives no limit")
         ->envname("CHICORYLIFT_MAX_DESCRIPTORS")
@@ -226,6 +234,10 @@
     // Less would not hold one request of the documented size beside the process itself.
     checks.push_back(check_count("memory-mb", values.memory_mb, 32, max_mb, true, "MB"));
     checks.push_back(check_count("buffer-mb", values.buffer_mb, 2, max_mb, true, "MB"));
+    checks.push_back(
+        check_count("max-row-bytes", values.max_row_bytes, 4096, 64 * max_count, false, "bytes"));
+    checks.push_back(
+        check_count("max-job-state-mb", values.max_job_state_mb, 1, max_mb, true, "MB"));
     // The files, the internal ports and the store's connections need about 400.
     checks.push_back(check_count("max-descriptors", values.max_descriptors, 512, max_count, true,
                                  "descriptors"));
--- a/src/site/settings.hpp
+++ b/src/site/settings.hpp
@@ -50,6 +50,11 @@
     /// Entry: number of an organisation's queued jobs from which a job that certainly cannot be
     /// served in time is refused; 0 for no bound.
     std::size_t max_queued_per_organisation = 0;
+    /// Largest value of a row of the table service, in bytes.
+    std::uint32_t max_row_bytes = 65'536;
+    /// Memory in MB that a leader may need for unfinished jobs. Entries refuse jobs beyond it, and
+    /// a leader leaves out jobs that were accepted without that limit; 0 for no limit.
+    std::uint32_t max_job_state_mb = 48;
     /// Memory of the machine in MB; 0 assumes the smallest machine that is supported.
     std::uint32_t memory_mb = 0;
     /// Memory in MB for the buffers of all connections of the process; 0 derives it from memory_mb.
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -114,6 +114,7 @@
     event_kind{"job_withdrawn", 100, "the cancellation of a job that is not stored is stored"},
     event_kind{"withdrawals_trimmed", 10,
                "rows of cancelled jobs that were never stored are removed"},
+    event_kind{"job_set_aside", 20, "a leader has no memory for a job, which waits"},
     event_kind{"dropped", 10, "number of lines of a kind dropped by its rate limit"},
     event_kind{"unlisted", 10, "a line whose kind is not in this list"},
 };
