--- a/src/site/agent.cpp
+++ b/src/site/agent.cpp
@@ -20,7 +20,7 @@
 // An agent sends about one report a second; a thousand cover a leader that stands still for
 // minutes.
 constexpr int max_waiting_per_peer = 1000;
-// Orders that start 1,000 units with the longest payload on one worker.
+// A leader splits its orders at 512 KB.
 constexpr std::int64_t max_agent_message_bytes = 4 << 20;
 // Time for the last report and the resignation messages, and then for the removal of the member
 // row, to be sent before the process exits.
--- a/tests/large_jobs_test.cpp
+++ b/tests/large_jobs_test.cpp
@@ -271,3 +271,23 @@
     CHECK(batch_site::wait_for(
         [&] { return site.call(0, "POST", job_name(2), layered_body(190, 500)).status == 200; }));
 }
+
+// Guards against LOST: starts for one worker outgrew the largest message and never arrived.
+TEST_CASE("all units of a job with the longest payload start, however many one worker takes")
+{
+    batch_site site(1, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(batch_site::wait_for([&] { return site.call(0, "GET", "").status == 200; }));
+    REQUIRE(batch_site::wait_for([&] { return site.leader() >= 0; }));
+    constexpr int units = 4000;
+    constexpr std::size_t longest_payload = 4000;
+    std::string payload = "300";
+    payload.resize(longest_payload, 'x');
+    REQUIRE(site.call(0, "POST", job_name(1),
+                      R"({"spec":")" + payload + R"(","steps":[{"count":)" + std::to_string(units) +
+                          R"(,"cpu":20,"memMb":50,"estimateMs":300}]})")
+                .status == 200);
+    CHECK(site.wait_for_state(job_name(1), "completed", seconds{40}));
+    CHECK(site.workers().records().done.size() == units);
+    CHECK(site.workers().records().violations.empty());
+}
