Keep the progress of a large job within its row

Cause: all ended units of a job are listed in one row without a bound. The store rejects a row over 64 KB with the whole transaction, which holds the progress of up to 30 jobs, and the leader repeated it.

Why it works: beyond 4,096 entries a bit stands for a unit or step, 13 KB for the largest job; rows that are too large for other reasons are left out of the transaction of the others.

--- a/include/chicorylift/batch/scheduler.hpp
+++ b/include/chicorylift/batch/scheduler.hpp
@@ -146,6 +146,8 @@
 struct job_progress
 {
     job_outcome outcome = job_outcome::unfinished;
+    /// Number of steps in each occurrence.
+    std::int64_t steps{};
     std::vector<completed_units> completed;
     std::vector<failed_run> failed;
     /// Checkpoints of units that have not succeeded yet.
--- a/src/batch/scheduler.cpp
+++ b/src/batch/scheduler.cpp
@@ -292,6 +292,7 @@
     const job_state& job = this->inner->jobs.at(id);
     job_progress progress;
     progress.outcome = job.outcome;
+    progress.steps = static_cast<std::int64_t>(job.spec.steps.size());
     progress.agents = job.agents;
     for (const auto& [occurrence, steps] : job.occurrences)
     {
--- a/src/site/leader_rows.cpp
+++ b/src/site/leader_rows.cpp
@@ -213,6 +213,17 @@
         const ports::row_id row_id = job_row_id(job, job_row_kind::progress);
         const batch::job_progress progress = this->scheduler.progress_of(job);
         std::string value = to_row(progress).SerializeAsString();
+        if (value.size() > this->context.values.max_row_bytes)
+        {
+            // The store would reject the whole transaction, and the other jobs' progress with it.
+            events::write(
+                "progress_too_large",
+                {{"job", job.str()},
+                 {"bytes", static_cast<std::uint64_t>(value.size())},
+                 {"failed_runs", static_cast<std::uint64_t>(progress.failed.size())},
+                 {"checkpoints", static_cast<std::uint64_t>(progress.checkpoints.size())}});
+            continue;
+        }
         bytes += value.size();
         if (bytes > max_progress_bytes_per_write && !included.empty())
         {
@@ -228,6 +239,10 @@
         changes.writes.push_back({row_id, std::move(value)});
         included[job] = this->scheduler.unpersisted_version(job);
     }
+    if (included.empty())
+    {
+        return;
+    }
     this->write_in_flight = true;
     this->write_sent_at = now;
     const std::weak_ptr<bool> alive = this->lifetime_token;
--- a/src/site/row_codec.cpp
+++ b/src/site/row_codec.cpp
@@ -3,6 +3,8 @@
 #include "net/address.hpp"
 #include "support/events.hpp"
 
+#include <algorithm>
+
 namespace chicorylift::site
 {
 
@@ -13,6 +15,11 @@
 constexpr std::string_view progress_suffix = "/progress";
 constexpr std::string_view cancel_suffix = "/cancel";
 
+// More ended units and steps are written as bits, of which the largest job needs 13 KB. Programs of
+// earlier versions read only lists.
+constexpr std::size_t max_listed_units = 4096;
+constexpr std::int64_t bits_per_byte = 8;
+
 // A key holds 200 bytes; a job's ID, a hash and separators take the rest.
 constexpr std::size_t max_organisation_bytes_in_key = 150;
 
@@ -135,6 +142,99 @@
                : batch::job_outcome::unfinished;
 }
 
+std::size_t count_entries(const std::vector<batch::completed_units>& completed)
+{
+    std::size_t count = 0;
+    for (const batch::completed_units& done : completed)
+    {
+        count += std::max<std::size_t>(1, done.units.size());
+    }
+    return count;
+}
+
+void set_bit(std::string& bits, std::int64_t index)
+{
+    const auto byte = static_cast<std::size_t>(index / bits_per_byte);
+    if (byte >= bits.size())
+    {
+        bits.resize(byte + 1);
+    }
+    bits[byte] = static_cast<char>(static_cast<unsigned char>(bits[byte]) |
+                                   (1U << static_cast<unsigned>(index % bits_per_byte)));
+}
+
+/// @return the indices of the bits that are set, at most as many as the largest job has units.
+std::vector<std::int64_t> indices_of(std::string_view bits)
+{
+    std::vector<std::int64_t> indices;
+    const auto end =
+        std::min(batch::max_units, static_cast<std::int64_t>(bits.size()) * bits_per_byte);
+    for (std::int64_t index = 0; index < end; ++index)
+    {
+        const auto byte =
+            static_cast<unsigned char>(bits[static_cast<std::size_t>(index / bits_per_byte)]);
+        if ((byte >> static_cast<unsigned>(index % bits_per_byte) & 1U) != 0)
+        {
+            indices.push_back(index);
+        }
+    }
+    return indices;
+}
+
+void fill_lists(wire::batch_progress& row, const batch::job_progress& progress)
+{
+    for (const batch::completed_units& done : progress.completed)
+    {
+        wire::batch_done_units& each = *row.add_done();
+        each.set_occurrence(done.occurrence);
+        each.set_step(done.step);
+        for (const std::int64_t unit : done.units)
+        {
+            each.add_units(unit);
+        }
+    }
+}
+
+void fill_bits(wire::batch_progress& row, const batch::job_progress& progress)
+{
+    row.set_steps(progress.steps);
+    for (const batch::completed_units& done : progress.completed)
+    {
+        if (done.units.empty())
+        {
+            set_bit(*row.mutable_done_steps(), done.occurrence * progress.steps + done.step);
+            continue;
+        }
+        wire::batch_done_bits& each = *row.add_done_bits();
+        each.set_occurrence(done.occurrence);
+        each.set_step(done.step);
+        for (const std::int64_t unit : done.units)
+        {
+            set_bit(*each.mutable_units(), unit);
+        }
+    }
+}
+
+void read_bits(const wire::batch_progress& row, batch::job_progress& progress)
+{
+    if (row.steps() > 0)
+    {
+        for (const std::int64_t index : indices_of(row.done_steps()))
+        {
+            progress.completed.push_back({index / row.steps(), index % row.steps(), {}});
+        }
+    }
+    for (const wire::batch_done_bits& done : row.done_bits())
+    {
+        std::vector<std::int64_t> units = indices_of(done.units());
+        // An empty list would mean all units.
+        if (!units.empty())
+        {
+            progress.completed.push_back({done.occurrence(), done.step(), std::move(units)});
+        }
+    }
+}
+
 batch::worker_info from(const wire::batch_worker& message)
 {
     batch::worker_info worker;
@@ -276,15 +376,13 @@
 {
     wire::batch_progress row;
     row.set_outcome(static_cast<wire::batch_outcome>(static_cast<int>(progress.outcome)));
-    for (const batch::completed_units& done : progress.completed)
+    if (progress.steps > 0 && count_entries(progress.completed) > max_listed_units)
     {
-        wire::batch_done_units& each = *row.add_done();
-        each.set_occurrence(done.occurrence);
-        each.set_step(done.step);
-        for (const std::int64_t unit : done.units)
-        {
-            each.add_units(unit);
-        }
+        fill_bits(row, progress);
+    }
+    else
+    {
+        fill_lists(row, progress);
     }
     for (const batch::failed_run& failed : progress.failed)
     {
@@ -313,6 +411,8 @@
 {
     batch::job_progress progress;
     progress.outcome = from(row.outcome());
+    progress.steps = row.steps();
+    read_bits(row, progress);
     for (const wire::batch_done_units& done : row.done())
     {
         progress.completed.push_back(
--- a/src/support/events.cpp
+++ b/src/support/events.cpp
@@ -115,6 +115,8 @@
     event_kind{"withdrawals_trimmed", 10,
                "rows of cancelled jobs that were never stored are removed"},
     event_kind{"job_set_aside", 20, "a leader has no memory for a job, which waits"},
+    event_kind{"progress_too_large", 5,
+               "a job's progress does not fit into a row and is not stored"},
     event_kind{"dropped", 10, "number of lines of a kind dropped by its rate limit"},
     event_kind{"unlisted", 10, "a line whose kind is not in this list"},
 };
--- a/tests/large_jobs_test.cpp
+++ b/tests/large_jobs_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylift/batch/scheduler.hpp"
+#include "site/row_codec.hpp"
 #include "support/batch_site.hpp"
 
 #include <algorithm>
@@ -291,3 +292,46 @@
     CHECK(site.workers().records().done.size() == units);
     CHECK(site.workers().records().violations.empty());
 }
+
+// Guards against LOST: the ended units of one job outgrew its row, and the store then rejected the
+// progress of all jobs.
+TEST_CASE("the progress of the largest job fits into a row, and is read as it was written")
+{
+    constexpr std::size_t row_bytes = 65'536;
+    job_progress progress;
+    progress.steps = 2;
+    SUBCASE("every second unit of one step")
+    {
+        std::vector<std::int64_t> units;
+        for (std::int64_t unit = 0; unit < max_units; unit += 2)
+        {
+            units.push_back(unit);
+        }
+        progress.completed.push_back({0, 1, units});
+    }
+    SUBCASE("most occurrences of a scheduled job")
+    {
+        for (std::int64_t occurrence = 0; occurrence < max_units / 2; ++occurrence)
+        {
+            progress.completed.push_back({occurrence, occurrence % 2, {}});
+        }
+    }
+    SUBCASE("few units, as programs of earlier versions read them")
+    {
+        progress.completed.push_back({0, 0, {}});
+        progress.completed.push_back({0, 1, {0, 3, 77}});
+        CHECK(site::to_row(progress).done_size() == 2);
+    }
+    const std::string value = site::to_row(progress).SerializeAsString();
+    CHECK(value.size() <= row_bytes);
+    wire::batch_progress row;
+    REQUIRE(row.ParseFromString(value));
+    const job_progress read = site::from_row(row);
+    REQUIRE(read.completed.size() == progress.completed.size());
+    for (std::size_t index = 0; index < read.completed.size(); ++index)
+    {
+        CHECK(read.completed[index].occurrence == progress.completed[index].occurrence);
+        CHECK(read.completed[index].step == progress.completed[index].step);
+        CHECK(read.completed[index].units == progress.completed[index].units);
+    }
+}
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t page_size = 500;
 constexpr std::size_t max_entries_per_call = 100;
 constexpr std::size_t max_call_bytes = 1'000'000;
+constexpr std::size_t max_row_bytes = 65'536;
 // Time for which feeds can be continued.
 constexpr std::chrono::seconds retention{20};
 constexpr int status_conflict = 412;
@@ -182,6 +183,16 @@
             response.status = 400;
             return response;
         }
+        for (json_reader& put : body->get_objects("puts", false))
+        {
+            std::string value;
+            if (!absl::Base64Unescape(put.get_string("value"), &value) ||
+                value.size() > max_row_bytes)
+            {
+                response.status = 400;
+                return response;
+            }
+        }
         Poco::JSON::Array::Ptr present(new Poco::JSON::Array);
         bool conflict = false;
         std::set<std::string> parts;
