Look at each occurrence of a scheduled job in a pass

Found by reading the bound on a pass again: a job's groups were collected occurrence by occurrence up to 1,024, so that a wide step that no worker may run (a label that none has) kept the steps of all later occurrences from ever being looked at. The bound is on the steps looked at now, 4,096 a job; each ready step adds a group, as within an occurrence.

--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t max_visits = 8192;
 constexpr std::size_t max_urgent_visits = 6144;
 constexpr std::size_t min_other_visits = 2048;
+constexpr std::size_t max_visits_per_job = 4096;
 // Groups that one job adds to a pass, besides one for each of its ready steps.
 constexpr std::size_t max_groups_per_job = 1024;
 // Occurrences of one job that exist and are not known to be done.
@@ -281,7 +282,7 @@
     const std::size_t first_group = groups.size();
     std::size_t visits = 0;
     for (auto each = job.occurrences.lower_bound(job.first_open_occurrence);
-         each != job.occurrences.end() && groups.size() - first_group < max_groups_per_job; ++each)
+         each != job.occurrences.end() && visits < max_visits_per_job; ++each)
     {
         const std::int64_t occurrence = each->first;
         std::vector<step_state>& steps = each->second;
--- a/tests/large_jobs_test.cpp
+++ b/tests/large_jobs_test.cpp
@@ -160,6 +160,21 @@
     CHECK(started.size() == 2);
 }
 
+// Guards against LOST: a later occurrence waits behind the units of an earlier one.
+TEST_CASE("a wide step that cannot be placed holds up no later occurrence of its job")
+{
+    site_scheduler scheduler({}, instant_at(milliseconds{10'000}));
+    job_spec job = layered_job("j", 1, 2000);
+    job.steps[0].per_unit = {0, 0, 0};
+    job.steps[0].required_label = "none has it";
+    job.steps[1].depends_on.clear();
+    job.steps[1].per_unit = {1000, 1000, 1};
+    job.occurrences = 3;
+    scheduler.add_job(job, {}, false, instant_at(milliseconds{10'000}));
+    scheduler.on_report(report_of_worker(), instant_at(milliseconds{10'000}));
+    CHECK(scheduler.schedule(instant_at(milliseconds{10'100}), {}, true).size() == 3);
+}
+
 // Guards against LOST: jobs beyond what one pass looks at were never looked at.
 TEST_CASE("every job is placed in time however many large ones are before it")
 {
