Go on calling agents that have left as planned

Found by reading: a leader no longer called agents whose member row was removed. One that comes back while the store is out can neither write its row again nor read who leads, so that its worker was without a leader until the end of the outage. It is called once a second again, as any silent agent.

membership_test "an agent that comes back while the store is out finds its leader" failed before (no lead_followed within 3 s) and passes now.

--- a/src/site/leader_orders.cpp
+++ b/src/site/leader_orders.cpp
@@ -154,7 +154,7 @@
         {
             state.calls.reset();
         }
-        else if (!state.left && state.calls.is_due(now))
+        else if (state.calls.is_due(now))
         {
             this->context.send(state.address, this->build_orders(name, state));
         }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -213,3 +213,30 @@
     CHECK(guard.may_place(now + milliseconds{1}));
     CHECK(!guard.predecessor_may_have_unpersisted_runs());
 }
+
+// Guards against LOST: a worker without a leader, since its agent came back during an outage.
+TEST_CASE("an agent that comes back while the store is out finds its leader")
+{
+    batch_site site(0, 3);
+    site.configure(1, {"key-a"});
+    REQUIRE(batch_site::wait_for([&] { return site.leader() >= 0; }));
+    std::this_thread::sleep_for(lease_length);
+    const int agent = site.leader() == 0 ? 1 : 0;
+    site.agent(agent).stop();
+    REQUIRE(batch_site::wait_for([&] { return site.store().rows("members") == 2; }));
+    // The leader has seen that the row is gone.
+    std::this_thread::sleep_for(milliseconds{200});
+    testing::store_faults faults;
+    faults.busy = true;
+    site.store().set_faults(faults);
+    // The leader has told all agents that it has lost the store.
+    std::this_thread::sleep_for(seconds{3});
+    const std::size_t before = site.agent(agent).output().size();
+    site.agent(agent).restart();
+    CHECK(batch_site::wait_for(
+        [&] {
+            return site.agent(agent).output().find("\"lead_followed\"", before) !=
+                   std::string::npos;
+        },
+        seconds{3}));
+}
