Say what bounds a pass, not how long it takes

Comments and one loop of the collection of groups, after reading the change as a newcomer would. No change of behaviour: batch_test, batch_takeover_test and reclaim_test pass.

--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -181,7 +181,7 @@
 
 std::size_t state_bytes(const job_spec& job) noexcept
 {
-    // As measured by the benchmark of large jobs.
+    // What the scheduler keeps besides the specification.
     constexpr std::size_t job_bytes = 1000;
     constexpr std::size_t step_state_bytes = 160;
     constexpr std::size_t units_per_byte = 8;
--- a/src/batch/scheduler_pass.cpp
+++ b/src/batch/scheduler_pass.cpp
@@ -24,8 +24,8 @@
 // Each stall doubles the stall timeout of the unit, at most this many times. Thus a unit whose
 // worker reports no progress at all can still finish.
 constexpr int max_timeout_doublings = 6;
-// A pass looks at this many steps and makes this many groups; the next one goes on with the jobs
-// that are left. At 0.15 cores it takes some 25 ms.
+// Bounds the length of a pass: steps that it looks at and groups that it makes. The next one goes
+// on with the jobs that are left.
 constexpr std::size_t max_visits = 8192;
 constexpr std::size_t max_urgent_visits = 6144;
 constexpr std::size_t min_other_visits = 2048;
@@ -340,7 +340,7 @@
         group.units = std::move(units);
         for (const std::int64_t unit : group.units)
         {
-            group.idle_since = step.units.note_idle(to_index(unit), now);
+            step.units.note_idle(to_index(unit), now);
         }
         group.idle_since = step.units.note_idle(to_index(group.units.front()), now);
         group.exceeds_room = exceeds_room;
