Do not refuse the repetition of a job that was accepted under other limits

Found by reading the change as a newcomer would: an entry weighed a job's size before it looked whether the job is stored. A job that an entry of an earlier version had accepted, and that is larger than a leader's memory allows now, was answered 400, "the job may not run", when its requester repeated it, though it does run. It is looked up first now.

large_jobs_test "a job that was accepted under other limits is still accepted when it is repeated" failed before (400) and passes now. An entry that has not read the job's row yet still answers 400.

--- a/src/site/entry_calls.cpp
+++ b/src/site/entry_calls.cpp
@@ -67,16 +67,6 @@
     pending->job.organisation = call.organisation;
     pending->job.policy = call.route.policy;
     pending->job.accepted = support::unix_now();
-    pending->row = to_row(pending->job).SerializeAsString();
-    const std::string excess = this->describe_excess(*pending);
-    if (!excess.empty())
-    {
-        events::write("job_refused", {{"job", call.job.str()},
-                                      {"queue", call.route.policy.queue.str()},
-                                      {"reason", excess}});
-        respond(platform::answer_response(client_result::bad_request, excess, {}));
-        return;
-    }
     pending->call = call;
     pending->key = key;
     pending->respond = respond;
@@ -90,6 +80,17 @@
         this->respond_stored(*pending, *known);
         return;
     }
+    // A job that was accepted under other limits is not refused when it is repeated.
+    pending->row = to_row(pending->job).SerializeAsString();
+    const std::string excess = this->describe_excess(*pending);
+    if (!excess.empty())
+    {
+        events::write("job_refused", {{"job", call.job.str()},
+                                      {"queue", call.route.policy.queue.str()},
+                                      {"reason", excess}});
+        respond(platform::answer_response(client_result::bad_request, excess, {}));
+        return;
+    }
     if (this->is_store_unavailable())
     {
         this->respond_refused(*pending, client_result::unavailable, "the store does not answer");
--- a/tests/large_jobs_test.cpp
+++ b/tests/large_jobs_test.cpp
@@ -308,6 +308,21 @@
     CHECK(site.workers().records().violations.empty());
 }
 
+// Guards against LOST: the repetition of an accepted job was answered as if the job did not exist.
+TEST_CASE("a job that was accepted under other limits is still accepted when it is repeated")
+{
+    batch_site site(1, 1, {}, false, 1, {"--max-job-state-mb", "1"});
+    site.configure(1, {"key-a"});
+    REQUIRE(batch_site::wait_for([&] { return site.call(0, "GET", "").status == 200; }));
+    job_spec job = layered_job(job_name(1), 215, 1);
+    job.organisation = core::organisation_id("a");
+    site.store().put("jobs", job_name(1) + "/accepted", site::to_row(job).SerializeAsString(),
+                     "site");
+    REQUIRE(site.wait_for_state(job_name(1), "queued"));
+    CHECK(site.call(0, "POST", job_name(1), layered_body(215, 1)).status == 200);
+    CHECK(site.call(0, "POST", job_name(2), layered_body(215, 1)).status == 400);
+}
+
 // Guards against LOST: the ended units of one job outgrew its row, and the store then rejected the
 // progress of all jobs.
 TEST_CASE("the progress of the largest job fits into a row, and is read as it was written")
