--- a/src/site/agent.hpp
+++ b/src/site/agent.hpp
@@ -85,6 +85,8 @@
     void on_leader_row(const absl::StatusOr<ports::row_page>& page, bool may_campaign);
     void campaign(std::uint64_t epoch, ports::revision version);
     void become_leader(std::uint64_t epoch, ports::revision version);
+
+    // Member rows (agent_membership.cpp).
     void register_member();
     /// Removes this agent's member row, so that no later leader waits for its report. Does not if
     /// the agent knows of unpersisted starts, or may have forgotten some.
