--- a/review/standin3/site.cpp
+++ b/review/standin3/site.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <iterator>
 #include <netinet/in.h>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
@@ -31,9 +32,9 @@
 {
     constexpr int first_port = 10'000;
     constexpr int port_count = 22'000;
-    constexpr int ports_per_process = 400;
-    static std::atomic<int> next =
-        ::getpid() % (port_count / ports_per_process) * ports_per_process;
+    // Runs at the same time begin in different places: a port is taken only when its process
+    // starts.
+    static std::atomic<int> next = static_cast<int>(std::random_device{}() % port_count);
     for (int attempt = 0; attempt < port_count; ++attempt)
     {
         const int port = first_port + next++ % port_count;
